--- /dev/null
+++ b/internal/catalog/release/holder.go
@@ -0,0 +1,51 @@
+package release
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Holder holds the release in force on a host. It never goes back to an earlier one. It is safe for concurrent use.
+type Holder struct {
+	current   atomic.Pointer[Snapshot]
+	confirmed atomic.Int64
+}
+
+// Current returns the release in force, or nil before the first.
+func (h *Holder) Current() *Snapshot { return h.current.Load() }
+
+// Adopt puts s in force if it is newer than the release in force, and reports whether it did.
+func (h *Holder) Adopt(s *Snapshot) bool {
+	for {
+		old := h.current.Load()
+		if old != nil && old.Number >= s.Number {
+			return false
+		}
+		if h.current.CompareAndSwap(old, s) {
+			return true
+		}
+	}
+}
+
+// Confirm notes that release number was the newest one at the time at. It has
+// no effect for another release than the one in force, nor for an earlier time.
+func (h *Holder) Confirm(number uint64, at time.Time) {
+	s := h.current.Load()
+	if s == nil || s.Number != number {
+		return
+	}
+	for {
+		old := h.confirmed.Load()
+		if at.UnixNano() <= old || h.confirmed.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
+}
+
+// Confirmed returns when the release in force was last known to be the newest; zero for never.
+func (h *Holder) Confirmed() time.Time {
+	if n := h.confirmed.Load(); n != 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/internal/catalog/release/publish.go
@@ -0,0 +1,138 @@
+package release
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/platform/store"
+)
+
+// RefusedError is a set that did not pass its check. Findings holds all of them.
+type RefusedError struct{ Findings []object.Finding }
+
+func (e *RefusedError) Error() string {
+	lines := make([]string, 0, len(e.Findings))
+	for _, f := range e.Findings {
+		if f.Severity == object.Refusal {
+			lines = append(lines, f.Error())
+		}
+	}
+	return "the configuration was not published:\n  " + strings.Join(lines, "\n  ")
+}
+
+// RaceError is a publication that lost to another one. Nothing of it was published.
+type RaceError struct {
+	// Base is the release that the change was made on, Now the one in force.
+	Base uint64
+	Now  Entry
+}
+
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("release %d by %s was published since release %d, on which this change was made; nothing was published: see 'shallotramp diff --from %d', take the other change in and publish with --base %d",
+		e.Now.Number, e.Now.Author, e.Base, e.Base, e.Now.Number)
+}
+
+// Change is a publication.
+type Change struct {
+	// Base is the number of the release that the change was made on.
+	Base   uint64
+	Set    *object.Set
+	Author string
+	Note   string
+}
+
+// Publish checks the set and commits it as the next release by one conditional
+// update of the head. It returns a [RefusedError] or a [RaceError] when nothing
+// was published. A lost answer is resolved by reading the head again.
+func Publish(ctx context.Context, st store.Store, c Change, now time.Time) (Entry, error) {
+	if fs := c.Set.Check(); object.Refused(fs) {
+		return Entry{}, &RefusedError{Findings: fs}
+	}
+	head, version, err := ReadHead(ctx, st)
+	if err != nil {
+		return Entry{}, err
+	}
+	if head.Number != c.Base {
+		return Entry{}, &RaceError{Base: c.Base, Now: head.Entry}
+	}
+	refs, content, err := Split(c.Set)
+	if err != nil {
+		return Entry{}, err
+	}
+	next := Entry{Number: head.Number + 1, Digest: DigestOf(refs), Author: c.Author, Note: c.Note, Time: now, Chunks: refs}
+	if err := writeChunks(ctx, st, refs, content, head); err != nil {
+		return Entry{}, err
+	}
+	spec, err := json.Marshal(follow(head, next))
+	if err != nil {
+		return Entry{}, err
+	}
+	o := store.Object{Kind: HeadKind, Name: HeadName, Version: version, Spec: spec}
+	if version == "" {
+		_, err = st.Create(ctx, o)
+	} else {
+		_, err = st.Update(ctx, o)
+	}
+	if err == nil {
+		return next, nil
+	}
+	return resolve(ctx, st, c, next, err)
+}
+
+// resolve finds out whether a write of the head with an error took effect.
+func resolve(ctx context.Context, st store.Store, c Change, next Entry, cause error) (Entry, error) {
+	head, _, err := ReadHead(ctx, st)
+	if err != nil {
+		return Entry{}, errors.Wrapf(cause, "release %d may have been published; run 'shallotramp history' before another publish", next.Number)
+	}
+	for _, e := range append([]Entry{head.Entry}, head.History...) {
+		if e.Number == next.Number && e.Digest == next.Digest && e.Author == next.Author && e.Time.Equal(next.Time) {
+			return e, nil
+		}
+	}
+	if head.Number != c.Base {
+		return Entry{}, &RaceError{Base: c.Base, Now: head.Entry}
+	}
+	return Entry{}, cause
+}
+
+// follow returns the head after next is committed on top of h.
+func follow(h Head, next Entry) Head {
+	out := Head{Entry: next}
+	if h.Number > 0 {
+		out.History = append([]Entry{h.Entry}, h.History...)
+	}
+	if len(out.History) > historyLength {
+		out.History = out.History[:historyLength]
+	}
+	return out
+}
+
+// writeChunks creates the chunks that the release in force does not have. An
+// existing chunk has the same content, for its name is its digest.
+func writeChunks(ctx context.Context, st store.Store, refs []Ref, content map[string][]byte, head Head) error {
+	have := map[string]bool{}
+	for _, r := range head.Chunks {
+		have[r.Digest] = true
+	}
+	for _, r := range refs {
+		if have[r.Digest] {
+			continue
+		}
+		spec, err := json.Marshal(ChunkSpec{Documents: content[r.Digest]})
+		if err != nil {
+			return err
+		}
+		_, err = st.Create(ctx, store.Object{Kind: ChunkKind, Name: r.Digest, Spec: spec})
+		if err != nil && !store.Failed(err, store.Exists) {
+			return errors.Wrap(err, "nothing was published")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/release/release.go
@@ -0,0 +1,183 @@
+// Package release publishes configurations and indexes them for use by traffic.
+//
+// A release is a numbered [object.Set]. Its documents are kept in content-addressed
+// chunks, objects of the platform that are created once and never changed. One
+// object, the head, names the number and chunks of the newest release; its
+// conditional update is the single point at which a release is committed. A
+// [Snapshot] is a release in the form that traffic reads.
+package release
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/platform/store"
+)
+
+// Names of the platform's objects.
+const (
+	HeadKind  = "Head"
+	HeadName  = "release"
+	ChunkKind = "Chunk"
+)
+
+const (
+	// chunkBytes is the size at which a chunk is closed: JSON in JSON grows, and values are at most 1 MiB.
+	chunkBytes = 256 << 10
+	// historyLength is how many earlier releases the head lists.
+	historyLength = 50
+)
+
+// Ref names one chunk by the digest of its content.
+type Ref struct {
+	Digest string
+	Bytes  int
+}
+
+// Entry describes one release.
+type Entry struct {
+	Number uint64
+	Digest string
+	Author string
+	Note   string `json:",omitempty"`
+	Time   time.Time
+	Chunks []Ref
+}
+
+// Head is the content of the head object. History holds the releases before the newest, newest first.
+type Head struct {
+	Entry
+	History []Entry `json:",omitempty"`
+}
+
+// ChunkSpec is the content of a chunk object.
+type ChunkSpec struct {
+	Documents json.RawMessage
+}
+
+// Split writes the documents of s into chunks of bounded size and returns the
+// references in order, with the content by digest. Equal sets give equal chunks.
+func Split(s *object.Set) ([]Ref, map[string][]byte, error) {
+	var refs []Ref
+	content := map[string][]byte{}
+	var buf bytes.Buffer
+	flush := func() {
+		if buf.Len() == 0 {
+			return
+		}
+		buf.WriteByte(']')
+		b := bytes.Clone(buf.Bytes())
+		buf.Reset()
+		sum := sha256.Sum256(b)
+		d := hex.EncodeToString(sum[:])
+		content[d] = b
+		refs = append(refs, Ref{Digest: d, Bytes: len(b)})
+	}
+	for _, d := range s.Documents() {
+		b, err := json.Marshal(d)
+		if err != nil {
+			return nil, nil, err
+		}
+		sep := byte(',')
+		if buf.Len() == 0 {
+			sep = '['
+		}
+		buf.WriteByte(sep)
+		buf.Write(b)
+		if buf.Len() >= chunkBytes {
+			flush()
+		}
+	}
+	flush()
+	return refs, content, nil
+}
+
+// CorruptError is a chunk whose content does not match its digest.
+type CorruptError struct{ Digest string }
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("chunk %s does not match its digest; publish the configuration again", e.Digest)
+}
+
+// Join builds the set from chunks in order and verifies each against its digest.
+func Join(refs []Ref, content map[string][]byte) (*object.Set, error) {
+	s := object.NewSet()
+	for _, ref := range refs {
+		b, ok := content[ref.Digest]
+		sum := sha256.Sum256(b)
+		if !ok || hex.EncodeToString(sum[:]) != ref.Digest {
+			return nil, &CorruptError{Digest: ref.Digest}
+		}
+		var docs []json.RawMessage
+		if err := json.Unmarshal(b, &docs); err != nil {
+			return nil, err
+		}
+		for _, d := range docs {
+			if errs := object.Read(s, "chunk "+ref.Digest, bytes.NewReader(d)); len(errs) > 0 {
+				return nil, errs[0]
+			}
+		}
+	}
+	return s, nil
+}
+
+// DigestOf returns the digest of a list of chunks, the identity of a release's content.
+func DigestOf(refs []Ref) string {
+	h := sha256.New()
+	for _, r := range refs {
+		h.Write([]byte(r.Digest))
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// ReadHead returns the head and the version of its object. A platform without
+// a release gives a Head with number 0 and an empty version.
+func ReadHead(ctx context.Context, st store.Store) (Head, string, error) {
+	o, err := st.Get(ctx, HeadKind, HeadName)
+	if store.Failed(err, store.NotFound) {
+		return Head{}, "", nil
+	}
+	if err != nil {
+		return Head{}, "", err
+	}
+	h, err := DecodeHead(o)
+	return h, o.Version, err
+}
+
+// DecodeHead returns the content of a head object.
+func DecodeHead(o store.Object) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(o.Spec, &h); err != nil {
+		return Head{}, errors.Wrap(err, "the head object is unreadable; publish the configuration again")
+	}
+	return h, nil
+}
+
+// ReadChunks fetches the chunks of refs that have does not hold, and returns all of them.
+func ReadChunks(ctx context.Context, st store.Store, refs []Ref, have map[string][]byte) (map[string][]byte, error) {
+	out := make(map[string][]byte, len(refs))
+	for _, r := range refs {
+		if b, ok := have[r.Digest]; ok {
+			out[r.Digest] = b
+			continue
+		}
+		o, err := st.Get(ctx, ChunkKind, r.Digest)
+		if err != nil {
+			return nil, err
+		}
+		var c ChunkSpec
+		if err := json.Unmarshal(o.Spec, &c); err != nil {
+			return nil, &CorruptError{Digest: r.Digest}
+		}
+		out[r.Digest] = c.Documents
+	}
+	return out, nil
+}
