--- /dev/null
+++ b/internal/platform/store/client.go
@@ -0,0 +1,289 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Conventions of the object API's paths and bodies, shared with the stand-in.
+const (
+	Group   = "shallotramp.example"
+	Version = "v1"
+	// Namespace holds all objects of one deployment.
+	Namespace = "default"
+)
+
+// watchBuffer bounds the events that wait for a slow reader of a watch.
+const watchBuffer = 64
+
+// Meta is the metadata of an object on the wire.
+type Meta struct {
+	Name            string `json:"name"`
+	Namespace       string `json:"namespace,omitempty"`
+	ResourceVersion string `json:"resourceVersion,omitempty"`
+}
+
+// Wire is an object on the wire.
+type Wire struct {
+	APIVersion string          `json:"apiVersion"`
+	Kind       string          `json:"kind"`
+	Metadata   Meta            `json:"metadata"`
+	Spec       json.RawMessage `json:"spec,omitempty"`
+}
+
+// WireList is a list of objects on the wire.
+type WireList struct {
+	APIVersion string `json:"apiVersion"`
+	Kind       string `json:"kind"`
+	Metadata   Meta   `json:"metadata"`
+	Items      []Wire `json:"items"`
+}
+
+// WireEvent is one line of a watch on the wire.
+type WireEvent struct {
+	Type   string `json:"type"`
+	Object Wire   `json:"object"`
+}
+
+// WireStatus is a failure on the wire.
+type WireStatus struct {
+	Kind    string `json:"kind"`
+	Code    int    `json:"code"`
+	Reason  string `json:"reason"`
+	Message string `json:"message"`
+}
+
+// ToWire returns o as it goes over the wire.
+func ToWire(o Object) Wire {
+	return Wire{
+		APIVersion: Group + "/" + Version,
+		Kind:       o.Kind,
+		Metadata:   Meta{Name: o.Name, Namespace: Namespace, ResourceVersion: o.Version},
+		Spec:       o.Spec,
+	}
+}
+
+// FromWire returns the object that came over the wire.
+func FromWire(w Wire) Object {
+	return Object{Kind: w.Kind, Name: w.Metadata.Name, Version: w.Metadata.ResourceVersion, Spec: w.Spec}
+}
+
+// Path returns the path of a kind's collection.
+func Path(kind string) string {
+	return fmt.Sprintf("/apis/%s/%s/namespaces/%s/%ss", Group, Version, Namespace, strings.ToLower(kind))
+}
+
+// Client calls the object API over HTTP. It counts its calls.
+type Client struct {
+	base  string
+	http  *http.Client
+	calls atomic.Int64
+}
+
+// Option changes a [Client].
+type Option func(*Client)
+
+// WithTransport sets the transport, for tests that break it.
+func WithTransport(rt http.RoundTripper) Option {
+	return func(c *Client) { c.http.Transport = rt }
+}
+
+// NewClient returns a client of the object API at base, such as "http://10.0.0.2:6443".
+func NewClient(base string, opts ...Option) *Client {
+	c := &Client{
+		base: strings.TrimSuffix(base, "/"),
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:           (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost:   32,
+			IdleConnTimeout:       time.Minute,
+			ResponseHeaderTimeout: 10 * time.Second,
+		}},
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Calls returns how many calls were made; a watch counts as one.
+func (c *Client) Calls() int64 { return c.calls.Load() }
+
+// Get implements [Store].
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	var w Wire
+	err := c.call(ctx, http.MethodGet, Path(kind)+"/"+url.PathEscape(name), kind, name, nil, &w)
+	return FromWire(w), err
+}
+
+// List implements [Store].
+func (c *Client) List(ctx context.Context, kind string) ([]Object, string, error) {
+	var l WireList
+	if err := c.call(ctx, http.MethodGet, Path(kind), kind, "", nil, &l); err != nil {
+		return nil, "", err
+	}
+	out := make([]Object, 0, len(l.Items))
+	for _, w := range l.Items {
+		out = append(out, FromWire(w))
+	}
+	return out, l.Metadata.ResourceVersion, nil
+}
+
+// Create implements [Store].
+func (c *Client) Create(ctx context.Context, o Object) (Object, error) {
+	var w Wire
+	err := c.call(ctx, http.MethodPost, Path(o.Kind), o.Kind, o.Name, ToWire(o), &w)
+	return FromWire(w), err
+}
+
+// Update implements [Store].
+func (c *Client) Update(ctx context.Context, o Object) (Object, error) {
+	var w Wire
+	err := c.call(ctx, http.MethodPut, Path(o.Kind)+"/"+url.PathEscape(o.Name), o.Kind, o.Name, ToWire(o), &w)
+	return FromWire(w), err
+}
+
+// Delete implements [Store].
+func (c *Client) Delete(ctx context.Context, o Object) error {
+	p := Path(o.Kind) + "/" + url.PathEscape(o.Name)
+	if o.Version != "" {
+		p += "?resourceVersion=" + url.QueryEscape(o.Version)
+	}
+	return c.call(ctx, http.MethodDelete, p, o.Kind, o.Name, nil, nil)
+}
+
+// Watch implements [Store].
+func (c *Client) Watch(ctx context.Context, kind, name, version string) (<-chan Event, error) {
+	q := url.Values{"watch": {"1"}, "allowWatchBookmarks": {"1"}}
+	if version != "" {
+		q.Set("resourceVersion", version)
+	}
+	if name != "" {
+		q.Set("fieldSelector", "metadata.name="+name)
+	}
+	res, err := c.send(ctx, http.MethodGet, Path(kind)+"?"+q.Encode(), kind, name, nil)
+	if err != nil {
+		return nil, err
+	}
+	ch := make(chan Event, watchBuffer)
+	go readWatch(ctx, res.Body, ch)
+	return ch, nil
+}
+
+// readWatch decodes events until the body ends and then closes ch, which its reader takes as the end.
+func readWatch(ctx context.Context, body io.ReadCloser, ch chan<- Event) {
+	defer close(ch)
+	defer body.Close()
+	dec := json.NewDecoder(body)
+	for {
+		var w WireEvent
+		if dec.Decode(&w) != nil {
+			return
+		}
+		ev, ok := eventOf(w)
+		if !ok {
+			return
+		}
+		select {
+		case ch <- ev:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func eventOf(w WireEvent) (Event, bool) {
+	for t := Added; t <= Bookmark; t++ {
+		if strings.EqualFold(t.String(), w.Type) {
+			return Event{Type: t, Object: FromWire(w.Object)}, true
+		}
+	}
+	return Event{}, false
+}
+
+func (c *Client) call(ctx context.Context, method, path, kind, name string, in, out any) error {
+	res, err := c.send(ctx, method, path, kind, name, in)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+		return &Error{Reason: Unavailable, Kind: kind, Name: name, Cause: err}
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, method, path, kind, name string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return nil, &Error{Reason: Invalid, Kind: kind, Name: name, Cause: err}
+		}
+		if len(b) > MaxValueBytes {
+			return nil, &Error{Reason: TooLarge, Kind: kind, Name: name}
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return nil, &Error{Reason: Invalid, Kind: kind, Name: name, Cause: err}
+	}
+	req.Header.Set("Accept", "application/json")
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	c.calls.Add(1)
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, &Error{Reason: Unavailable, Kind: kind, Name: name, Cause: err}
+	}
+	if res.StatusCode < 300 {
+		return res, nil
+	}
+	defer res.Body.Close()
+	return nil, statusError(res, kind, name)
+}
+
+func statusError(res *http.Response, kind, name string) error {
+	var st WireStatus
+	b, _ := io.ReadAll(io.LimitReader(res.Body, 64<<10))
+	if json.Unmarshal(b, &st) != nil {
+		st.Message = http.StatusText(res.StatusCode)
+	}
+	e := &Error{Reason: Unavailable, Kind: kind, Name: name}
+	if st.Message != "" {
+		e.Cause = errors.New(st.Message)
+	}
+	switch res.StatusCode {
+	case http.StatusNotFound:
+		e.Reason = NotFound
+	case http.StatusConflict:
+		e.Reason = Conflict
+		if st.Reason == "AlreadyExists" {
+			e.Reason = Exists
+		}
+	case http.StatusRequestEntityTooLarge:
+		e.Reason = TooLarge
+	case http.StatusGone:
+		e.Reason = Expired
+	case http.StatusTooManyRequests:
+		e.Reason = Throttled
+	case http.StatusBadRequest, http.StatusUnprocessableEntity:
+		e.Reason = Invalid
+	}
+	return e
+}
