--- /dev/null
+++ b/internal/engine/fake/engine.go
@@ -0,0 +1,366 @@
+// Package fake provides small stand-ins of backend servers: a model engine with
+// the OpenAI-compatible HTTP API and a plain booking service. They can be slow,
+// crash, break streams off and report late. Tests and the demo use them.
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// Faults are the failures that an [Engine] shows. The zero value shows none.
+type Faults struct {
+	// SlowFactor stretches each duration; 0 is 1.
+	SlowFactor float64
+	// BreakAfter ends each stream without its end after this many tokens; 0 is never.
+	BreakAfter int
+	// CrashOn makes requests whose body contains the text crash the engine for CrashFor.
+	CrashOn  string
+	CrashFor time.Duration
+	// Leaving announces that the engine goes.
+	Leaving bool
+	// Gone drops each connection.
+	Gone bool
+}
+
+// Config describes an [Engine].
+type Config struct {
+	Name   string
+	Models []string
+	// Slots is how many requests run at once; others wait in order of priority.
+	Slots int
+	// TokenInterval is the time of one output token, PrefillToken that of one input token that is not cached.
+	TokenInterval time.Duration
+	PrefillToken  time.Duration
+}
+
+// Count is what an engine did for one request id.
+type Count struct {
+	Prompt, Cached, Output int
+}
+
+// Engine is a model engine. It implements [http.Handler].
+type Engine struct {
+	Journal
+	cfg Config
+	mux *http.ServeMux
+
+	mu       sync.Mutex
+	faults   Faults
+	waiting  waitList
+	running  int
+	down     time.Time
+	crashed  chan struct{}
+	counts   map[string]Count
+	prefixes map[uint64]bool
+	sequence uint64
+}
+
+// NewEngine returns an engine.
+func NewEngine(cfg Config) *Engine {
+	e := &Engine{
+		cfg: cfg, mux: http.NewServeMux(), crashed: make(chan struct{}),
+		counts: map[string]Count{}, prefixes: map[uint64]bool{},
+	}
+	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
+	e.mux.HandleFunc("POST /v1/completions", e.complete)
+	e.mux.HandleFunc("POST /v1/embeddings", e.embed)
+	e.mux.HandleFunc("GET /v1/models", e.models)
+	e.mux.HandleFunc("GET /metrics", e.metrics)
+	e.mux.HandleFunc("GET /counts", e.serveCounts)
+	e.mux.HandleFunc("PUT /faults", e.serveFaults)
+	e.mux.HandleFunc("GET /seen", e.ServeSeen)
+	return e
+}
+
+// SetFaults replaces the faults shown from now on.
+func (e *Engine) SetFaults(f Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Counts returns the tokens counted by request id.
+func (e *Engine) Counts() map[string]Count {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[string]Count, len(e.counts))
+	for id, c := range e.counts {
+		out[id] = c
+	}
+	return out
+}
+
+// ServeHTTP implements [http.Handler]. A crashed engine drops connections.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	down := e.faults.Gone || time.Now().Before(e.down)
+	e.mu.Unlock()
+	if down && !strings.HasPrefix(r.URL.Path, "/faults") && r.URL.Path != "/seen" && r.URL.Path != "/counts" {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.Counts())
+}
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	out := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list"}
+	for _, m := range e.cfg.Models {
+		out.Data = append(out.Data, model{m, "model"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// metrics reports the load in the text format and with the names that engines publish.
+func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	running, waiting, leaving := e.running, e.waiting.Len(), 0
+	if e.faults.Leaving {
+		leaving = 1
+	}
+	seq := e.sequence
+	e.mu.Unlock()
+	fmt.Fprintf(w, "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running %d\n", running)
+	fmt.Fprintf(w, "# TYPE vllm:num_requests_waiting gauge\nvllm:num_requests_waiting %d\n", waiting)
+	fmt.Fprintf(w, "# TYPE engine_leaving gauge\nengine_leaving %d\n", leaving)
+	fmt.Fprintf(w, "# TYPE engine_cache_sequence counter\nengine_cache_sequence %d\n", seq)
+}
+
+// job is one request in the engine.
+type job struct {
+	id, model, prompt string
+	chat, stream      bool
+	usage, eachUsage  bool
+	maxTokens, from   int
+	priority          int
+	length            int
+	partial           string
+}
+
+var ownTokens = regexp.MustCompile(`(w[0-9a-f]{5} )+$`)
+
+var wantedLength = regexp.MustCompile(`tokens=(\d+)`)
+
+func readJob(r *http.Request, body []byte) (job, error) {
+	if !gjson.ValidBytes(body) {
+		return job{}, fmt.Errorf("the body is not JSON")
+	}
+	v := gjson.ParseBytes(body)
+	j := job{
+		id: r.Header.Get("X-Request-Id"), model: v.Get("model").String(),
+		chat:   strings.Contains(r.URL.Path, "/chat/"),
+		stream: v.Get("stream").Bool(), usage: v.Get("stream_options.include_usage").Bool(),
+		eachUsage: v.Get("stream_options.continuous_usage_stats").Bool(),
+		maxTokens: int(v.Get("max_tokens").Int()), priority: int(v.Get("priority").Int()),
+	}
+	if n := v.Get("max_completion_tokens"); n.Exists() {
+		j.maxTokens = int(n.Int())
+	}
+	j.prompt = v.Get("prompt").String()
+	for _, m := range v.Get("messages").Array() {
+		if v.Get("continue_final_message").Bool() && m.Get("role").String() == "assistant" {
+			j.partial = m.Get("content").String()
+			continue
+		}
+		j.prompt += m.Get("role").String() + " " + m.Get("content").String() + "\n"
+	}
+	if !j.chat {
+		// A prompt that ends in tokens of the stand-in's own continues an answer.
+		j.partial = ownTokens.FindString(j.prompt)
+		j.prompt = strings.TrimSuffix(j.prompt, j.partial)
+	}
+	j.from = len(strings.Fields(j.partial))
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(j.prompt))
+	j.length = 16 + int(h.Sum32()%48)
+	if m := wantedLength.FindStringSubmatch(j.prompt); m != nil {
+		j.length, _ = strconv.Atoi(m[1])
+	}
+	if j.maxTokens > 0 && j.length > j.from+j.maxTokens {
+		j.length = j.from + j.maxTokens
+	}
+	return j, nil
+}
+
+// Token returns the token at position i of the answer to prompt, so that tests know the whole answer.
+func Token(prompt string, i int) string {
+	h := fnv.New32a()
+	_, _ = fmt.Fprintf(h, "%s/%d", prompt, i)
+	return fmt.Sprintf("w%05x ", h.Sum32()&0xfffff)
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	body, err := e.Record(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.crashIfTold(body)
+	j, err := readJob(r, body)
+	if err != nil {
+		http.Error(w, `{"error":{"message":"`+err.Error()+`"}}`, http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	crashed := e.crashed
+	e.mu.Unlock()
+	ctx, stop := context.WithCancel(r.Context())
+	defer stop()
+	context.AfterFunc(r.Context(), stop)
+	go func() {
+		select {
+		case <-crashed:
+			stop()
+		case <-ctx.Done():
+		}
+	}()
+	if !e.acquire(ctx, j.priority) {
+		panic(http.ErrAbortHandler)
+	}
+	defer e.release()
+	e.run(ctx, w, j)
+}
+
+func (e *Engine) crashIfTold(body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.CrashOn == "" || !strings.Contains(string(body), e.faults.CrashOn) {
+		return
+	}
+	e.down = time.Now().Add(e.faults.CrashFor)
+	close(e.crashed)
+	e.crashed = make(chan struct{})
+	panic(http.ErrAbortHandler)
+}
+
+// run generates the answer; each wait ends early when ctx does.
+func (e *Engine) run(ctx context.Context, w http.ResponseWriter, j job) {
+	prompt := len(strings.Fields(j.prompt))
+	cached := e.prefill(j, prompt)
+	if !e.wait(ctx, time.Duration(prompt-cached)*e.cfg.PrefillToken) {
+		panic(http.ErrAbortHandler)
+	}
+	a := answer{w: w, j: j, prompt: prompt}
+	a.begin()
+	for i := j.from; i < j.length; i++ {
+		if !e.wait(ctx, e.cfg.TokenInterval) {
+			panic(http.ErrAbortHandler)
+		}
+		if n := e.breakAfter(); n > 0 && i-j.from >= n {
+			panic(http.ErrAbortHandler)
+		}
+		e.count(j.id, Count{Output: 1})
+		if a.token(Token(j.prompt, i), i-j.from+1) != nil {
+			return
+		}
+	}
+	a.end(j.length - j.from)
+}
+
+func (e *Engine) breakAfter() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.BreakAfter
+}
+
+// blockWords is the length of a cached block of a prompt.
+const blockWords = 64
+
+// prefill counts the prompt, caches its blocks and returns how many words were cached before.
+func (e *Engine) prefill(j job, words int) int {
+	fields := strings.Fields(j.prompt)
+	h := fnv.New64a()
+	cached := 0
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := 0; i+blockWords <= len(fields); i += blockWords {
+		_, _ = h.Write([]byte(strings.Join(fields[i:i+blockWords], " ")))
+		if e.prefixes[h.Sum64()] && cached == i {
+			cached = i + blockWords
+		} else {
+			e.sequence++
+		}
+		e.prefixes[h.Sum64()] = true
+	}
+	c := e.counts[j.id]
+	c.Prompt += words
+	c.Cached += cached
+	e.counts[j.id] = c
+	return cached
+}
+
+func (e *Engine) count(id string, add Count) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.counts[id]
+	c.Output += add.Output
+	e.counts[id] = c
+}
+
+func (e *Engine) wait(ctx context.Context, d time.Duration) bool {
+	e.mu.Lock()
+	if f := e.faults.SlowFactor; f > 0 {
+		d = time.Duration(float64(d) * f)
+	}
+	e.mu.Unlock()
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Engine) embed(w http.ResponseWriter, r *http.Request) {
+	body, err := e.Record(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	v := gjson.ParseBytes(body)
+	words := len(strings.Fields(v.Get("input").String()))
+	e.mu.Lock()
+	c := e.counts[r.Header.Get("X-Request-Id")]
+	c.Prompt += words
+	e.counts[r.Header.Get("X-Request-Id")] = c
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, `{"object":"list","model":%q,"data":[{"object":"embedding","index":0,"embedding":[0.1,0.2,0.3]}],"usage":{"prompt_tokens":%d,"total_tokens":%d}}`,
+		v.Get("model").String(), words, words)
+}
--- /dev/null
+++ b/internal/engine/fake/service.go
@@ -0,0 +1,147 @@
+package fake
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// seenLength is how many requests a [Journal] keeps.
+const seenLength = 200
+
+// Seen is one request as a stand-in received it.
+type Seen struct {
+	Method string
+	URL    string
+	Header http.Header
+	Body   string
+	At     time.Time
+}
+
+// Journal keeps the last requests as received.
+type Journal struct {
+	seenMu sync.Mutex
+	seen   []Seen
+}
+
+// Record notes r and returns its body.
+func (j *Journal) Record(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	j.seenMu.Lock()
+	defer j.seenMu.Unlock()
+	j.seen = append(j.seen, Seen{r.Method, r.URL.String(), r.Header.Clone(), string(body), time.Now()})
+	if len(j.seen) > seenLength {
+		j.seen = append([]Seen(nil), j.seen[len(j.seen)-seenLength:]...)
+	}
+	return body, nil
+}
+
+// Seen returns the last requests, oldest first.
+func (j *Journal) Seen() []Seen {
+	j.seenMu.Lock()
+	defer j.seenMu.Unlock()
+	return append([]Seen{}, j.seen...)
+}
+
+// ServeSeen serves the last requests as JSON.
+func (j *Journal) ServeSeen(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(j.Seen())
+}
+
+// ServiceFaults are the failures that a [Service] shows.
+type ServiceFaults struct {
+	Delay time.Duration
+	// LoseAnswers runs the next calls and then drops their connections.
+	LoseAnswers int
+	Gone        bool
+}
+
+// Service is a plain service with calls that must not run twice. It implements [http.Handler].
+type Service struct {
+	Journal
+	mux *http.ServeMux
+
+	mu     sync.Mutex
+	faults ServiceFaults
+	runs   map[string]int
+}
+
+// NewService returns a service without runs.
+func NewService() *Service {
+	s := &Service{mux: http.NewServeMux(), runs: map[string]int{}}
+	s.mux.HandleFunc("GET /seen", s.ServeSeen)
+	s.mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(s.Runs()) })
+	s.mux.HandleFunc("PUT /faults", s.serveFaults)
+	s.mux.HandleFunc("/", s.call)
+	return s
+}
+
+// SetFaults replaces the faults shown from now on.
+func (s *Service) SetFaults(f ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Runs returns how often each idempotency key ran.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for k, n := range s.runs {
+		out[k] = n
+	}
+	return out
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f ServiceFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.faults
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+	}
+	s.mu.Unlock()
+	if f.Gone {
+		panic(http.ErrAbortHandler)
+	}
+	body, err := s.Record(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.Sleep(f.Delay)
+	if k := r.Header.Get("Idempotency-Key"); k != "" && r.Method != http.MethodGet {
+		s.mu.Lock()
+		s.runs[k]++
+		s.mu.Unlock()
+	}
+	if f.LoseAnswers > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if r.Method == http.MethodPost {
+		w.WriteHeader(http.StatusCreated)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"Method": r.Method, "Path": r.URL.Path, "Bytes": len(body)})
+}
