--- /dev/null
+++ b/internal/traffic/dispatch/dispatch.go
@@ -0,0 +1,126 @@
+// Package dispatch connects decisions to traffic. A [Policy] decides, without
+// I/O, which request runs where and when; the [Loop] is the one goroutine that
+// owns it, feeds it events and carries its effects out.
+package dispatch
+
+import (
+	"time"
+
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/traffic/request"
+)
+
+//go:generate go tool stringer -type EffectKind,RefusalReason -output dispatch_string.go
+
+// Load is what a backend server reported of itself.
+type Load struct {
+	Server string
+	// At is when the server measured.
+	At time.Time
+	// Running and Waiting count requests; QueuedTokens estimates their work.
+	Running, Waiting, QueuedTokens int
+	// Loaded lists models, adapters and versions as "model", "model+adapter" or "model@version".
+	Loaded []string
+	// CacheSequence numbers the server's cache events.
+	CacheSequence uint64
+	Leaving       bool
+}
+
+// ServerState is what is known of a server's life, from leases, heartbeats and the platform's list.
+type ServerState struct {
+	Server  string
+	Zone    string
+	Leaving bool
+	Gone    bool
+}
+
+// HostState is what another host tells of its queues and outstanding work.
+type HostState struct {
+	Host string
+	Zone string
+	At   time.Time
+	// Waiting and Running count requests by class.
+	Waiting, Running map[string]int
+	// OldestWait by class.
+	OldestWait map[string]time.Duration
+	// Outstanding counts requests by server.
+	Outstanding map[string]int
+	// Used counts tokens by organisation since the host started.
+	Used map[string]int64
+	// Marked lists fingerprints of requests that crashed servers, with the crash count.
+	Marked map[uint64]int
+}
+
+// RefusalReason tells why a request is refused.
+type RefusalReason uint8
+
+// The reasons of refusal.
+const (
+	// Overload refusals come from shedding.
+	Overload RefusalReason = iota
+	// OverLimit refusals come from an organisation's limit.
+	OverLimit
+	// NoServer refusals find no backend server that could run the work.
+	NoServer
+	// PastDeadline refusals could not start in time.
+	PastDeadline
+	// CrashSuspect refusals are requests that crashed servers before.
+	CrashSuspect
+	// Exhausted refusals have no attempt or retry budget left.
+	Exhausted
+	// KeyWithdrawn refusals end queued work of a withdrawn key.
+	KeyWithdrawn
+)
+
+// EffectKind tells what is to be done.
+type EffectKind uint8
+
+// The kinds of effects.
+const (
+	// Start sends the request to Server.
+	Start EffectKind = iota
+	// Refuse answers the caller with Reason and RetryAfter.
+	Refuse
+	// Preempt cancels a running request on its server, to be resumed later.
+	Preempt
+)
+
+// Effect is one thing that a [Policy] wants done.
+type Effect struct {
+	Kind EffectKind
+	ID   request.ID
+	// Server and Attempt, from 1, are set for Start.
+	Server  string
+	Attempt int
+	// Reason, RetryAfter and Ran are set for Refuse.
+	Reason     RefusalReason
+	RetryAfter time.Duration
+	Ran        request.Ran
+	// Why explains the decision for operators.
+	Why string
+}
+
+// Policy decides. It is used by one goroutine, does no I/O and reads no clock.
+type Policy interface {
+	// Configure adopts a release; servers and classes that are gone are dropped.
+	Configure(now time.Time, s *release.Snapshot) []Effect
+	// Arrive takes a new request.
+	Arrive(now time.Time, r *request.Request) []Effect
+	// Cancel forgets a request whose caller left or whose key was withdrawn. A running
+	// request is finished by its Result later.
+	Cancel(now time.Time, id request.ID) []Effect
+	// Progress notes that tokens were generated for a running request.
+	Progress(now time.Time, id request.ID, tokens int)
+	// Finish notes the end of an attempt.
+	Finish(now time.Time, r request.Result) []Effect
+	// Report notes a server's load report.
+	Report(now time.Time, l Load) []Effect
+	// Server notes a change in a server's life.
+	Server(now time.Time, s ServerState) []Effect
+	// Peer notes what another host reports.
+	Peer(now time.Time, h HostState) []Effect
+	// State returns what this host tells the others.
+	State(now time.Time) HostState
+	// Tick lets time pass; it is called at least every 100 ms.
+	Tick(now time.Time) []Effect
+}
