--- /dev/null
+++ b/internal/entry/gateway/gateway.go
@@ -0,0 +1,159 @@
+// Package gateway serves callers: the OpenAI-compatible HTTP API for models and
+// plain services under their routes' prefixes. It authenticates a request,
+// hands it to the decisions and relays the answer of the backend server that
+// they choose, whole or with an explicit error.
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/ops/explain"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/request"
+	"shallotramp/internal/usage/meter"
+)
+
+// Limits bound what one request may take.
+type Limits struct {
+	BodyBytes   int64
+	HeaderBytes int
+	// ReadTime bounds the reading of a request, WriteStall one write to a slow reader.
+	ReadTime   time.Duration
+	WriteStall time.Duration
+}
+
+// DefaultLimits are used where a limit is zero.
+var DefaultLimits = Limits{BodyBytes: 8 << 20, HeaderBytes: 64 << 10, ReadTime: 30 * time.Second, WriteStall: 20 * time.Second}
+
+// Counter takes what organisations use.
+type Counter interface {
+	Count(organisation string, u meter.Use)
+}
+
+// Gateway serves callers. Create it with [New].
+type Gateway struct {
+	zone     string
+	holder   *release.Holder
+	loop     *dispatch.Loop
+	counter  Counter
+	book     *explain.Book
+	metrics  *metrics.Set
+	log      zerolog.Logger
+	tracer   trace.Tracer
+	limits   Limits
+	backends http.RoundTripper
+	open     *registry
+}
+
+// Option changes a [Gateway].
+type Option func(*Gateway)
+
+// WithLimits replaces the limits; zero fields keep their defaults.
+func WithLimits(l Limits) Option {
+	return func(g *Gateway) {
+		if l.BodyBytes > 0 {
+			g.limits.BodyBytes = l.BodyBytes
+		}
+		if l.HeaderBytes > 0 {
+			g.limits.HeaderBytes = l.HeaderBytes
+		}
+		if l.ReadTime > 0 {
+			g.limits.ReadTime = l.ReadTime
+		}
+		if l.WriteStall > 0 {
+			g.limits.WriteStall = l.WriteStall
+		}
+	}
+}
+
+// WithLog sets the log.
+func WithLog(l zerolog.Logger) Option { return func(g *Gateway) { g.log = l } }
+
+// WithMetrics sets the set in which metrics are kept.
+func WithMetrics(s *metrics.Set) Option { return func(g *Gateway) { g.metrics = s } }
+
+// WithBook sets where decisions are remembered.
+func WithBook(b *explain.Book) Option { return func(g *Gateway) { g.book = b } }
+
+// WithCounter sets what takes the use of organisations.
+func WithCounter(c Counter) Option { return func(g *Gateway) { g.counter = c } }
+
+// WithTransport sets the transport to backend servers.
+func WithTransport(rt http.RoundTripper) Option { return func(g *Gateway) { g.backends = rt } }
+
+// New returns a Gateway in zone for the releases of holder and the decisions of loop.
+func New(zone string, holder *release.Holder, loop *dispatch.Loop, opts ...Option) *Gateway {
+	g := &Gateway{
+		zone: zone, holder: holder, loop: loop,
+		counter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(), log: zerolog.Nop(),
+		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, open: newRegistry(),
+		backends: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 256,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		},
+	}
+	for _, o := range opts {
+		o(g)
+	}
+	return g
+}
+
+// Handler returns the handler of the callers' listener.
+func (g *Gateway) Handler() http.Handler {
+	e := echo.New()
+	e.POST("/v1/chat/completions", g.serveModel)
+	e.POST("/v1/completions", g.serveModel)
+	e.POST("/v1/embeddings", g.serveModel)
+	e.GET("/v1/models", g.serveModels)
+	e.GET("/v1/models/:model", g.serveOneModel)
+	e.Any("/*", g.serveService)
+	e.HTTPErrorHandler = func(err error, c echo.Context) {
+		if !c.Response().Committed {
+			(&Fault{Kind: UnknownTarget, Code: "unknown_path", Message: err.Error(), Remedy: "use a path under /v1/ or the prefix of a route"}).write(c.Response(), newID())
+		}
+	}
+	return e
+}
+
+// Server returns an HTTP server for the callers' listener with the header and time limits set.
+func (g *Gateway) Server() *http.Server {
+	return &http.Server{
+		Handler:           g.Handler(),
+		MaxHeaderBytes:    g.limits.HeaderBytes,
+		ReadHeaderTimeout: g.limits.ReadTime,
+		IdleTimeout:       2 * time.Minute,
+		BaseContext:       func(net.Listener) context.Context { return context.Background() },
+	}
+}
+
+// Open returns how many requests are open.
+func (g *Gateway) Open() int { return g.open.len() }
+
+// Enforce ends the open requests that the release in force no longer allows. It
+// is called after each adoption and at least once a second.
+func (g *Gateway) Enforce(now time.Time) {
+	snap := g.holder.Current()
+	confirmed := g.holder.Confirmed()
+	g.open.endWhere(func(c *call) *Fault { return allowed(snap, confirmed, c, now) })
+}
+
+func newID() request.ID {
+	id, err := uuid.NewV7()
+	if err != nil {
+		id = uuid.New()
+	}
+	return request.ID(id.String())
+}
--- /dev/null
+++ b/internal/entry/host/host.go
@@ -0,0 +1,181 @@
+// Package host assembles an entry host: the callers' and operators' listeners,
+// the decisions and the parts of the fleet that run on it.
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/entry/console"
+	"shallotramp/internal/entry/gateway"
+	"shallotramp/internal/ops/explain"
+	"shallotramp/internal/platform/store"
+	"shallotramp/internal/traffic/baseline"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/usage/meter"
+)
+
+// Config holds the settings of a host.
+type Config struct {
+	Name      string
+	Zone      string
+	Callers   netip.AddrPort
+	Operators netip.AddrPort
+	// DrainDelay is how long the host still takes requests after it is no longer ready, so that
+	// the balancer notices. DrainTimeout bounds the wait for open requests.
+	DrainDelay   time.Duration
+	DrainTimeout time.Duration
+	Limits       gateway.Limits
+}
+
+// enforceInterval is how often open requests are checked against the release in force.
+const enforceInterval = time.Second
+
+// Host is one entry host. Create it with [New] and start it with [Host.Run].
+type Host struct {
+	cfg      Config
+	log      zerolog.Logger
+	store    store.Store
+	holder   *release.Holder
+	loop     *dispatch.Loop
+	gateway  *gateway.Gateway
+	meter    *meter.Meter
+	book     *explain.Book
+	metrics  *metrics.Set
+	draining atomic.Bool
+	callers  net.Listener
+	console  net.Listener
+}
+
+// New returns a Host that listens at once, so that its addresses are known, and serves when run.
+func New(cfg Config, st store.Store, log zerolog.Logger) (*Host, error) {
+	h := &Host{
+		cfg: cfg, log: log, store: st, holder: &release.Holder{},
+		meter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(),
+	}
+	h.loop = dispatch.NewLoop(baseline.New())
+	h.gateway = gateway.New(cfg.Zone, h.holder, h.loop, gateway.WithLog(log), gateway.WithMetrics(h.metrics),
+		gateway.WithBook(h.book), gateway.WithCounter(h.meter), gateway.WithLimits(cfg.Limits))
+	var err error
+	if h.callers, err = net.Listen("tcp", cfg.Callers.String()); err != nil {
+		return nil, errors.Wrap(err, "the callers' listener cannot start; free the address or set --callers")
+	}
+	if h.console, err = net.Listen("tcp", cfg.Operators.String()); err != nil {
+		_ = h.callers.Close()
+		return nil, errors.Wrap(err, "the operators' listener cannot start; free the address or set --operators")
+	}
+	return h, nil
+}
+
+// CallersURL returns the base URL of the callers' listener.
+func (h *Host) CallersURL() string { return "http://" + h.callers.Addr().String() }
+
+// OperatorsURL returns the base URL of the operators' listener.
+func (h *Host) OperatorsURL() string { return "http://" + h.console.Addr().String() }
+
+// Run serves until ctx ends, then drains: readiness off, open requests finished, listeners closed.
+func (h *Host) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	parts := []func(context.Context, chan<- error){h.loop.Run, h.follower().Run, h.enforce}
+	done := make(chan error, len(parts))
+	for _, run := range parts {
+		go run(work, done)
+	}
+	callers := h.gateway.Server()
+	operators := &http.Server{Handler: h.consoleHandler(), ReadHeaderTimeout: 10 * time.Second}
+	served := make(chan error, 2)
+	go serve(callers, h.callers, served)
+	go serve(operators, h.console, served)
+	h.log.Info().Str("Host", h.cfg.Name).Str("Zone", h.cfg.Zone).Str("Callers", h.CallersURL()).Str("Operators", h.OperatorsURL()).Msg("host serves")
+	var err error
+	select {
+	case <-ctx.Done():
+		err = h.drain(callers)
+	case err = <-served:
+		served <- nil
+	}
+	stop()
+	for range parts {
+		<-done
+	}
+	_ = operators.Close()
+	_ = callers.Close()
+	<-served
+	<-served
+	return err
+}
+
+func serve(s *http.Server, ln net.Listener, served chan<- error) {
+	err := s.Serve(ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		err = nil
+	}
+	served <- err
+}
+
+// drain stops taking new work and waits for the open requests.
+func (h *Host) drain(callers *http.Server) error {
+	h.draining.Store(true)
+	h.log.Info().Int("Open", h.gateway.Open()).Msg("host drains")
+	time.Sleep(h.cfg.DrainDelay)
+	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.DrainTimeout)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		return errors.Wrapf(err, "%d requests were still open after --drain-timeout; raise it to let them finish", h.gateway.Open())
+	}
+	return nil
+}
+
+func (h *Host) follower() *release.Follower {
+	return release.NewFollower(h.store, h.holder, h.log, h.adopted)
+}
+
+func (h *Host) adopted(s *release.Snapshot) {
+	h.loop.Configure(s)
+	h.gateway.Enforce(time.Now())
+}
+
+// enforce checks the open requests against time: keys expire and a cut-off host's grace ends.
+func (h *Host) enforce(ctx context.Context, done chan<- error) {
+	t := time.NewTicker(enforceInterval)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			if h.holder.Current() != nil {
+				h.gateway.Enforce(now)
+			}
+		case <-ctx.Done():
+			done <- nil
+			return
+		}
+	}
+}
+
+func (h *Host) consoleHandler() http.Handler {
+	c := &console.Console{Status: h.Status, Book: h.book, Metrics: h.metrics}
+	return c.Handler()
+}
+
+// Status returns what the host tells of itself.
+func (h *Host) Status() console.Status {
+	s := console.Status{
+		Host: h.cfg.Name, Zone: h.cfg.Zone, Draining: h.draining.Load(),
+		Confirmed: h.holder.Confirmed(), Open: h.gateway.Open(), Use: h.meter.Sums(),
+	}
+	if snap := h.holder.Current(); snap != nil {
+		s.Release, s.Digest = snap.Number, snap.Digest
+		s.Ready = !s.Draining
+	}
+	return s
+}
