--- /dev/null
+++ b/internal/command/cli/cli.go
@@ -0,0 +1,100 @@
+// Package cli is the command line of shallotramp. Each command is a struct that
+// kong fills from flags and environment variables.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+)
+
+//go:generate go tool stringer -type ExitCode -output cli_string.go
+
+// ExitCode is the exit code of the command.
+type ExitCode int
+
+// The exit codes.
+const (
+	Done ExitCode = iota
+	Failed
+	Usage
+)
+
+// Globals are the flags of all commands.
+type Globals struct {
+	Output   string `help:"Form of the output." enum:"table,json" default:"table" env:"SHALLOTRAMP_OUTPUT"`
+	LogLevel string `help:"Least severe log event that is written." enum:"debug,info,warn,error" default:"info" env:"SHALLOTRAMP_LOG_LEVEL"`
+
+	ctx    context.Context
+	stdout io.Writer
+	stderr io.Writer
+}
+
+func (g *Globals) logger() zerolog.Logger {
+	level, err := zerolog.ParseLevel(g.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	return zerolog.New(g.stderr).Level(level).With().Timestamp().Logger()
+}
+
+// json writes v as one line.
+func (g *Globals) json(v any) error { return json.NewEncoder(g.stdout).Encode(v) }
+
+// isJSON reports whether programs read the output.
+func (g *Globals) isJSON() bool { return g.Output == "json" }
+
+// Commands is the command line.
+type Commands struct {
+	Globals
+
+	Serve   ServeCommand   `cmd:"" help:"Run an entry host."`
+	Check   CheckCommand   `cmd:"" help:"Check a whole set of objects offline."`
+	Publish PublishCommand `cmd:"" help:"Check a whole set of objects and publish it as the next release."`
+	Standin StandinCommand `cmd:"" help:"Run one stand-in of an outside system, for trials and tests."`
+}
+
+func init() {
+	zerolog.TimestampFieldName = "Time"
+	zerolog.LevelFieldName = "Level"
+	zerolog.MessageFieldName = "Message"
+	zerolog.ErrorFieldName = "Error"
+}
+
+// Main runs the command line and returns the exit code. The context ends on an interrupt.
+func Main(args []string, stdout, stderr io.Writer) ExitCode {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var c Commands
+	exited := -1
+	p, err := kong.New(&c,
+		kong.Name("shallotramp"),
+		kong.Description("Routes language-model traffic with service levels and priorities.\n\nExit codes: 0 done, 1 refused or failed, 2 usage."),
+		kong.UsageOnError(), kong.Writers(stdout, stderr),
+		kong.Exit(func(code int) { exited = code }))
+	if err != nil {
+		fmt.Fprintln(stderr, "shallotramp:", err)
+		return Usage
+	}
+	k, err := p.Parse(args)
+	if exited >= 0 {
+		return Done
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "shallotramp: %v; see 'shallotramp --help'\n", err)
+		return Usage
+	}
+	c.ctx, c.stdout, c.stderr = ctx, stdout, stderr
+	if err := k.Run(&c.Globals); err != nil {
+		fmt.Fprintln(stderr, "shallotramp:", err)
+		return Failed
+	}
+	return Done
+}
--- /dev/null
+++ b/internal/command/cli/publish.go
@@ -0,0 +1,131 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/platform/store"
+)
+
+// platformTimeout bounds the calls of one operator's command.
+const platformTimeout = 30 * time.Second
+
+// PlatformFlags name the platform.
+type PlatformFlags struct {
+	Platform string `help:"Base URL of the platform's object API." required:"" env:"SHALLOTRAMP_PLATFORM"`
+}
+
+func (f *PlatformFlags) open(g *Globals) (context.Context, context.CancelFunc, store.Store) {
+	ctx, cancel := context.WithTimeout(g.ctx, platformTimeout)
+	return ctx, cancel, store.NewClient(f.Platform)
+}
+
+// readFiles reads the objects of all files; "-" is standard input.
+func readFiles(files []string) (*object.Set, error) {
+	s := object.NewSet()
+	var errs []error
+	for _, name := range files {
+		var r io.ReadCloser = os.Stdin
+		if name != "-" {
+			f, err := os.Open(name)
+			if err != nil {
+				return nil, errors.Wrap(err, "name a file that can be read, or - for standard input")
+			}
+			r = f
+		}
+		errs = append(errs, object.Read(s, name, r)...)
+		_ = r.Close()
+	}
+	if len(errs) == 0 {
+		return s, nil
+	}
+	text := fmt.Sprintf("%d problems in the files:", len(errs))
+	for _, e := range errs {
+		text += "\n  " + e.Error()
+	}
+	return nil, errors.New(text)
+}
+
+// CheckCommand checks a set of objects offline.
+type CheckCommand struct {
+	Files []string `arg:"" help:"Files of objects, in YAML or JSON; - for standard input."`
+}
+
+// Run implements the command.
+func (c *CheckCommand) Run(g *Globals) error {
+	s, err := readFiles(c.Files)
+	if err != nil {
+		return err
+	}
+	found := s.Check()
+	if g.isJSON() {
+		if err := g.json(struct{ Findings []object.Finding }{append([]object.Finding{}, found...)}); err != nil {
+			return err
+		}
+	} else {
+		for _, f := range found {
+			fmt.Fprintf(g.stdout, "%s: %s\n", f.Severity, f.Error())
+		}
+		fmt.Fprintf(g.stdout, "%d objects, %d findings\n", len(s.Documents()), len(found))
+	}
+	if object.Refused(found) {
+		return errors.New("the set cannot be published; mend the findings marked Refusal")
+	}
+	return nil
+}
+
+// PublishCommand publishes a set of objects.
+type PublishCommand struct {
+	PlatformFlags
+	Files  []string `arg:"" help:"Files of objects, in YAML or JSON; - for standard input."`
+	Base   *uint64  `help:"Release that the change was made on; the one in force if left out." env:"SHALLOTRAMP_BASE"`
+	Author string   `help:"Who publishes; the user's name if empty." env:"SHALLOTRAMP_AUTHOR"`
+	Note   string   `help:"Why." env:"SHALLOTRAMP_NOTE"`
+}
+
+// Run implements the command.
+func (c *PublishCommand) Run(g *Globals) error {
+	s, err := readFiles(c.Files)
+	if err != nil {
+		return err
+	}
+	ctx, cancel, st := c.open(g)
+	defer cancel()
+	base := uint64(0)
+	if c.Base != nil {
+		base = *c.Base
+	} else {
+		head, _, err := release.ReadHead(ctx, st)
+		if err != nil {
+			return err
+		}
+		base = head.Number
+	}
+	e, err := release.Publish(ctx, st, release.Change{Base: base, Set: s, Author: author(c.Author), Note: c.Note}, time.Now().UTC())
+	if err != nil {
+		return err
+	}
+	if g.isJSON() {
+		return g.json(e)
+	}
+	fmt.Fprintf(g.stdout, "release %d published (%d chunks)\n", e.Number, len(e.Chunks))
+	return nil
+}
+
+func author(flag string) string {
+	if flag != "" {
+		return flag
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
