demo: a whole deployment in one process, with load, fault and checks

Cause: the stand-in counted prompts before it had processed them, so a crash in between was counted by it and seen by nobody. It now counts when prefill is over, as an engine's usage does.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -58,6 +58,7 @@
 	Serve   ServeCommand   `cmd:"" help:"Run an entry host."`
 	Check   CheckCommand   `cmd:"" help:"Check a whole set of objects offline."`
 	Publish PublishCommand `cmd:"" help:"Check a whole set of objects and publish it as the next release."`
+	Demo    DemoCommand    `cmd:"" help:"Run a whole deployment with stand-ins in one process."`
 	Standin StandinCommand `cmd:"" help:"Run one stand-in of an outside system, for trials and tests."`
 }
 
--- a/internal/engine/fake/engine.go
+++ b/internal/engine/fake/engine.go
@@ -258,19 +258,18 @@
 	if e.faults.CrashOn == "" || !strings.Contains(string(body), e.faults.CrashOn) {
 		return
 	}
-	e.down = time.Now().Add(e.faults.CrashFor)
-	close(e.crashed)
-	e.crashed = make(chan struct{})
+	e.vanish(e.faults.CrashFor)
 	panic(http.ErrAbortHandler)
 }
 
 // run generates the answer; each wait ends early when ctx does.
 func (e *Engine) run(ctx context.Context, w http.ResponseWriter, j job) {
 	prompt := len(strings.Fields(j.prompt))
-	cached := e.prefill(j, prompt)
+	cached := e.prefill(j)
 	if !e.wait(ctx, time.Duration(prompt-cached)*e.cfg.PrefillToken) {
 		panic(http.ErrAbortHandler)
 	}
+	e.count(j.id, Count{Prompt: prompt, Cached: cached})
 	a := answer{w: w, j: j, prompt: prompt}
 	a.begin()
 	for i := j.from; i < j.length; i++ {
@@ -297,8 +296,8 @@
 // blockWords is the length of a cached block of a prompt.
 const blockWords = 64
 
-// prefill counts the prompt, caches its blocks and returns how many words were cached before.
-func (e *Engine) prefill(j job, words int) int {
+// prefill caches the blocks of the prompt and returns how many words were cached before.
+func (e *Engine) prefill(j job) int {
 	fields := strings.Fields(j.prompt)
 	h := fnv.New64a()
 	cached := 0
@@ -313,10 +312,6 @@
 		}
 		e.prefixes[h.Sum64()] = true
 	}
-	c := e.counts[j.id]
-	c.Prompt += words
-	c.Cached += cached
-	e.counts[j.id] = c
 	return cached
 }
 
@@ -324,6 +319,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	c := e.counts[id]
+	c.Prompt += add.Prompt
+	c.Cached += add.Cached
 	c.Output += add.Output
 	e.counts[id] = c
 }
@@ -355,12 +352,22 @@
 	}
 	v := gjson.ParseBytes(body)
 	words := len(strings.Fields(v.Get("input").String()))
-	e.mu.Lock()
-	c := e.counts[r.Header.Get("X-Request-Id")]
-	c.Prompt += words
-	e.counts[r.Header.Get("X-Request-Id")] = c
-	e.mu.Unlock()
+	e.count(r.Header.Get("X-Request-Id"), Count{Prompt: words})
 	w.Header().Set("Content-Type", "application/json")
 	fmt.Fprintf(w, `{"object":"list","model":%q,"data":[{"object":"embedding","index":0,"embedding":[0.1,0.2,0.3]}],"usage":{"prompt_tokens":%d,"total_tokens":%d}}`,
 		v.Get("model").String(), words, words)
 }
+
+// Vanish breaks all connections, and drops new ones until d has passed.
+func (e *Engine) Vanish(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.vanish(d)
+}
+
+// vanish is [Engine.Vanish] for a caller that holds e.mu.
+func (e *Engine) vanish(d time.Duration) {
+	e.down = time.Now().Add(d)
+	close(e.crashed)
+	e.crashed = make(chan struct{})
+}
--- a/internal/entry/gateway/fail.go
+++ b/internal/entry/gateway/fail.go
@@ -101,6 +101,7 @@
 func (f *Fault) write(w http.ResponseWriter, id request.ID) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", string(id))
 	h.Set("X-Request-Ran", ranTexts[f.Ran])
 	if f.RetryAfter > 0 {
 		secs := int64((f.RetryAfter + time.Second - 1) / time.Second)
