--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -58,6 +58,12 @@
 	Serve   ServeCommand   `cmd:"" help:"Run an entry host."`
 	Check   CheckCommand   `cmd:"" help:"Check a whole set of objects offline."`
 	Publish PublishCommand `cmd:"" help:"Check a whole set of objects and publish it as the next release."`
+	Get     GetCommand     `cmd:"" help:"Print objects of a release, in the form in which they are published."`
+	Diff    DiffCommand    `cmd:"" help:"Show what differs between files and a release, or between two releases."`
+	History HistoryCommand `cmd:"" help:"List the releases."`
+	Key     KeyCommand     `cmd:"" help:"Grant and withdraw keys."`
+	Explain ExplainCommand `cmd:"" help:"Show the decisions taken for one request."`
+	Load    LoadCommand    `cmd:"" help:"Offer open-loop traffic from a profile and report the measures."`
 	Demo    DemoCommand    `cmd:"" help:"Run a whole deployment with stand-ins in one process."`
 	Standin StandinCommand `cmd:"" help:"Run one stand-in of an outside system, for trials and tests."`
 }
--- /dev/null
+++ b/internal/command/cli/key.go
@@ -0,0 +1,109 @@
+package cli
+
+import (
+	"crypto/rand"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+)
+
+// maxRaces bounds how often a command repeats its change on a newer release.
+const maxRaces = 10
+
+// KeyCommand grants and withdraws keys.
+type KeyCommand struct {
+	Grant    KeyGrantCommand    `cmd:"" help:"Publish a new key for an organisation and print it once."`
+	Withdraw KeyWithdrawCommand `cmd:"" help:"Withdraw a key: new, queued and streaming work under it ends."`
+}
+
+// KeyGrantCommand grants a key.
+type KeyGrantCommand struct {
+	PlatformFlags
+	Organisation string    `arg:"" help:"Organisation that gets the key."`
+	Name         string    `help:"Name of the key object; made from the organisation's name if empty." env:"SHALLOTRAMP_KEY_NAME"`
+	Classes      []string  `help:"Classes that the key may ask for; all if left out." env:"SHALLOTRAMP_KEY_CLASSES"`
+	NotAfter     time.Time `help:"When the key ends, as 2026-12-31T00:00:00Z." format:"2006-01-02T15:04:05Z07:00" env:"SHALLOTRAMP_KEY_NOT_AFTER"`
+	Author       string    `help:"Who grants; the user's name if empty." env:"SHALLOTRAMP_AUTHOR"`
+}
+
+// Run implements the command. Only the digest of the key is published.
+func (c *KeyGrantCommand) Run(g *Globals) error {
+	name := c.Name
+	if name == "" {
+		name = c.Organisation + "-" + time.Now().UTC().Format("20060102-150405")
+	}
+	secret := "sk-" + rand.Text()
+	e, err := amend(g, &c.PlatformFlags, author(c.Author), "grant key "+name, func(s *object.Set) error {
+		if _, ok := s.Keys[name]; ok {
+			return errors.Newf("a key named %q exists; choose another --name", name)
+		}
+		s.Keys[name] = &object.KeySpec{Name: name, Organisation: c.Organisation, Digest: object.DigestOf(secret), Classes: c.Classes, NotAfter: c.NotAfter}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if g.isJSON() {
+		return g.json(struct {
+			Name, Organisation, Key string
+			Release                 uint64
+		}{name, c.Organisation, secret, e.Number})
+	}
+	fmt.Fprintf(g.stdout, "%s\nrelease %d: key %s of %s; the key is shown only this once\n", secret, e.Number, name, c.Organisation)
+	return nil
+}
+
+// KeyWithdrawCommand withdraws a key.
+type KeyWithdrawCommand struct {
+	PlatformFlags
+	Name   string `arg:"" help:"Name of the key object."`
+	Author string `help:"Who withdraws; the user's name if empty." env:"SHALLOTRAMP_AUTHOR"`
+}
+
+// Run implements the command.
+func (c *KeyWithdrawCommand) Run(g *Globals) error {
+	e, err := amend(g, &c.PlatformFlags, author(c.Author), "withdraw key "+c.Name, func(s *object.Set) error {
+		if _, ok := s.Keys[c.Name]; !ok {
+			return errors.Newf("there is no key named %q; see 'shallotramp get Key'", c.Name)
+		}
+		delete(s.Keys, c.Name)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if g.isJSON() {
+		return g.json(struct {
+			Name    string
+			Release uint64
+		}{c.Name, e.Number})
+	}
+	fmt.Fprintf(g.stdout, "release %d: key %s withdrawn; 'shallotramp status' shows which zones have it\n", e.Number, c.Name)
+	return nil
+}
+
+// amend publishes the release in force with a change. When another publication comes
+// between, the change is made again on the newer release.
+func amend(g *Globals, f *PlatformFlags, who, note string, change func(*object.Set) error) (release.Entry, error) {
+	ctx, cancel, st := f.open(g)
+	defer cancel()
+	for range maxRaces {
+		base, set, err := loadRelease(ctx, st, 0)
+		if err != nil {
+			return release.Entry{}, err
+		}
+		if err := change(set); err != nil {
+			return release.Entry{}, err
+		}
+		e, err := release.Publish(ctx, st, release.Change{Base: base.Number, Set: set, Author: who, Note: note}, time.Now().UTC())
+		var race *release.RaceError
+		if !errors.As(err, &race) {
+			return e, err
+		}
+	}
+	return release.Entry{}, errors.Newf("%d other publications came first; nothing was published: try again", maxRaces)
+}
--- /dev/null
+++ b/internal/trial/workload/plot.go
@@ -0,0 +1,45 @@
+package workload
+
+import (
+	"sort"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// Plot draws the time to the first token of whole answers over the run, by class, as a PNG file.
+func Plot(answers []Answer, file string) error {
+	p := plot.New()
+	p.Title.Text = "First token by time of arrival"
+	p.X.Label.Text = "Arrival, seconds"
+	p.Y.Label.Text = "First token, milliseconds"
+	byClass := map[string]plotter.XYs{}
+	for _, a := range answers {
+		if a.Whole {
+			byClass[a.Class] = append(byClass[a.Class], plotter.XY{X: a.At.Seconds(), Y: float64(a.First.Microseconds()) / 1000})
+		}
+	}
+	names := make([]string, 0, len(byClass))
+	for n := range byClass {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for i, n := range names {
+		s, err := plotter.NewScatter(byClass[n])
+		if err != nil {
+			return err
+		}
+		s.GlyphStyle.Color = plotutil.Color(i)
+		s.GlyphStyle.Radius = vg.Points(1.5)
+		p.Add(s)
+		p.Legend.Add(n, s)
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
