--- /dev/null
+++ b/internal/entry/gateway/gateway_test.go
@@ -0,0 +1,426 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	c "github.com/smartystreets/goconvey/convey"
+	"github.com/tidwall/gjson"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+	enginefake "shallotramp/internal/engine/fake"
+	"shallotramp/internal/entry/gateway"
+	"shallotramp/internal/traffic/baseline"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/usage/meter"
+)
+
+const (
+	secretA = "sk-a-very-secret-key-of-a"
+	secretB = "sk-a-very-secret-key-of-b"
+)
+
+// bench is a gateway in front of stand-ins.
+type bench struct {
+	t        testing.TB
+	holder   *release.Holder
+	gateway  *gateway.Gateway
+	loop     *dispatch.Loop
+	meter    *meter.Meter
+	engines  []*enginefake.Engine
+	service  *enginefake.Service
+	set      *object.Set
+	url      string
+	upstream string
+}
+
+func addr(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func newBench(t testing.TB, opts ...gateway.Option) *bench {
+	t.Helper()
+	b := &bench{t: t, holder: &release.Holder{}, meter: meter.New(), set: object.NewSet()}
+	s := b.set
+	s.Organisations["a"] = &object.OrganisationSpec{Name: "a"}
+	s.Organisations["b"] = &object.OrganisationSpec{Name: "b"}
+	s.Keys["a"] = &object.KeySpec{Name: "a", Organisation: "a", Digest: object.DigestOf(secretA)}
+	s.Keys["b"] = &object.KeySpec{Name: "b", Organisation: "b", Digest: object.DigestOf(secretB), Classes: []string{"low"}}
+	s.Classes["high"] = &object.ClassSpec{Name: "high", Tier: 1}
+	s.Classes["low"] = &object.ClassSpec{Name: "low", Tier: 2}
+	s.Pools["engines"] = &object.PoolSpec{Name: "engines", Protocol: object.Engine, Models: []string{"m"}, Concurrency: 4096}
+	s.Pools["services"] = &object.PoolSpec{Name: "services", Protocol: object.Service, Concurrency: 64}
+	s.Routes["m"] = &object.RouteSpec{Name: "m", Model: "m", Pool: "engines", Classes: []string{"high", "low"}, Idempotent: true}
+	s.Routes["only-a"] = &object.RouteSpec{Name: "only-a", Path: "/only-a/", Pool: "services", Organisations: []string{"a"}, Classes: []string{"high"}, Idempotent: true}
+	s.Routes["book"] = &object.RouteSpec{Name: "book", Path: "/book/", Pool: "services", Classes: []string{"high"}}
+	s.Routes["open"] = &object.RouteSpec{Name: "open", Path: "/open/", Pool: "services", Open: true, Classes: []string{"high"}, Idempotent: true}
+	for i := range 2 {
+		e := enginefake.NewEngine(enginefake.Config{Name: fmt.Sprintf("e%d", i), Models: []string{"m"}, Slots: 4096, TokenInterval: time.Millisecond})
+		srv := httptest.NewServer(e)
+		t.Cleanup(srv.Close)
+		b.engines = append(b.engines, e)
+		b.upstream = srv.URL
+		s.BackendServers[fmt.Sprintf("e%d", i)] = &object.BackendServerSpec{Name: fmt.Sprintf("e%d", i), Pool: "engines", Zone: "z", Address: addr(srv)}
+	}
+	b.service = enginefake.NewService()
+	srv := httptest.NewServer(b.service)
+	t.Cleanup(srv.Close)
+	s.BackendServers["s"] = &object.BackendServerSpec{Name: "s", Pool: "services", Zone: "z", Address: addr(srv)}
+	if fs := s.Check(); object.Refused(fs) {
+		t.Fatal(fs)
+	}
+	b.loop = dispatch.NewLoop(baseline.New())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go b.loop.Run(ctx, done)
+	t.Cleanup(func() { cancel(); <-done })
+	b.gateway = gateway.New("z", b.holder, b.loop, append([]gateway.Option{gateway.WithCounter(b.meter)}, opts...)...)
+	b.publish(1)
+	srv = httptest.NewUnstartedServer(nil)
+	srv.Config = b.gateway.Server()
+	srv.Start()
+	t.Cleanup(srv.Close)
+	b.url = srv.URL
+	return b
+}
+
+// publish puts the set in force as release n.
+func (b *bench) publish(n uint64) {
+	sn := release.NewSnapshot(n, "", b.set)
+	b.holder.Adopt(sn)
+	b.holder.Confirm(n, time.Now())
+	b.loop.Configure(sn)
+	b.gateway.Enforce(time.Now())
+}
+
+// post sends a request and returns the status, headers and body.
+func (b *bench) post(path, key, body string, header ...string) (*http.Response, string) {
+	b.t.Helper()
+	req, err := http.NewRequest(http.MethodPost, b.url+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	text, _ := io.ReadAll(res.Body)
+	return res, string(text)
+}
+
+func chat(prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":"m","stream":%t,"messages":[{"role":"user","content":%q}]}`, stream, prompt)
+}
+
+// right returns the whole answer of the stand-in engine to a prompt.
+func right(prompt string, n int) string {
+	var s strings.Builder
+	for i := range n {
+		s.WriteString(enginefake.Token("user "+prompt+"\n", i))
+	}
+	return s.String()
+}
+
+func TestPublishedClientLibrary(t *testing.T) {
+	c.Convey("The published client library gets whole answers", t, func() {
+		b := newBench(t)
+		client := openai.NewClient(option.WithBaseURL(b.url+"/v1/"), option.WithAPIKey(secretA))
+		params := openai.ChatCompletionNewParams{Model: "m", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello tokens=20")}}
+
+		c.Convey("not streamed", func() {
+			r, err := client.Chat.Completions.New(context.Background(), params)
+			c.So(err, c.ShouldBeNil)
+			c.So(r.Choices[0].Message.Content, c.ShouldEqual, right("hello tokens=20", 20))
+			c.So(r.Usage.CompletionTokens, c.ShouldEqual, 20)
+		})
+		c.Convey("streamed, with usage when asked for", func() {
+			params.StreamOptions = openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}
+			s := client.Chat.Completions.NewStreaming(context.Background(), params)
+			acc := openai.ChatCompletionAccumulator{}
+			for s.Next() {
+				acc.AddChunk(s.Current())
+			}
+			c.So(s.Err(), c.ShouldBeNil)
+			c.So(acc.Choices[0].Message.Content, c.ShouldEqual, right("hello tokens=20", 20))
+			c.So(acc.Usage.CompletionTokens, c.ShouldEqual, 20)
+		})
+		c.Convey("embeddings and the models that the key may use", func() {
+			e, err := client.Embeddings.New(context.Background(), openai.EmbeddingNewParams{Model: "m", Input: openai.EmbeddingNewParamsInputUnion{OfString: openai.String("a b")}})
+			c.So(err, c.ShouldBeNil)
+			c.So(len(e.Data[0].Embedding), c.ShouldEqual, 3)
+			page, err := client.Models.List(context.Background())
+			c.So(err, c.ShouldBeNil)
+			c.So(page.Data[0].ID, c.ShouldEqual, "m")
+		})
+		c.Convey("and errors in the API's own shape", func() {
+			params.Model = "none"
+			_, err := client.Chat.Completions.New(context.Background(), params)
+			var api *openai.Error
+			c.So(err, c.ShouldHaveSameTypeAs, api)
+			c.So(err.(*openai.Error).StatusCode, c.ShouldEqual, http.StatusNotFound)
+			c.So(err.(*openai.Error).Code, c.ShouldEqual, "unknown_model")
+		})
+	})
+}
+
+func TestBadInput(t *testing.T) {
+	b := newBench(t, gateway.WithLimits(gateway.Limits{BodyBytes: 1000}))
+	for name, tc := range map[string]struct {
+		path, key, body string
+		header          []string
+		status          int
+		code            string
+	}{
+		"malformed JSON":                          {"/v1/chat/completions", secretA, `{"model":`, nil, 400, "bad_json"},
+		"an array instead of an object":           {"/v1/chat/completions", secretA, `[]`, nil, 400, "missing_model"},
+		"no model":                                {"/v1/chat/completions", secretA, `{}`, nil, 400, "missing_model"},
+		"an unknown model":                        {"/v1/chat/completions", secretA, `{"model":"x"}`, nil, 404, "unknown_model"},
+		"no key":                                  {"/v1/chat/completions", "", chat("x", false), nil, 401, "missing_key"},
+		"a wrong key":                             {"/v1/chat/completions", "sk-wrong", chat("x", false), nil, 401, "unknown_key"},
+		"an oversize body":                        {"/v1/chat/completions", secretA, chat(strings.Repeat("x", 2000), false), nil, 413, "body_too_large"},
+		"two keys":                                {"/v1/chat/completions", secretA, chat("x", false), []string{"Authorization", "Bearer " + secretB}, 400, "duplicate_header"},
+		"a class that the key may not use":        {"/v1/chat/completions", secretB, chat("x", false), []string{"X-Request-Class", "high"}, 403, "class_not_allowed"},
+		"a timeout that is none":                  {"/v1/chat/completions", secretA, chat("x", false), []string{"X-Request-Timeout", "soon"}, 400, "bad_timeout"},
+		"a route of another organisation":         {"/only-a/x", secretB, "", nil, 403, "route_not_allowed"},
+		"an unknown path":                         {"/nowhere", secretA, "", nil, 404, "unknown_path"},
+		"a booking without an idempotency key":    {"/book/x", secretA, "{}", nil, 400, "missing_idempotency_key"},
+		"a booking with two idempotency keys":     {"/book/x", secretA, "{}", []string{"Idempotency-Key", "1", "Idempotency-Key", "2"}, 400, "bad_idempotency_key"},
+		"a key in the body":                       {"/v1/chat/completions", secretA, chat(secretA, false), nil, 400, "key_in_request"},
+		"a key in the query":                      {"/only-a/x?k=" + secretA, secretA, "", nil, 400, "key_in_request"},
+		"a key in the query, percent-encoded":     {"/only-a/x?k=%73" + secretA[1:], secretA, "", nil, 400, "key_in_request"},
+		"a key in the path":                       {"/only-a/" + secretA, secretA, "", nil, 400, "key_in_request"},
+		"a deadline that has passed while it ran": {"/v1/chat/completions", secretA, chat("tokens=3000", false), []string{"X-Request-Timeout", "50ms"}, 504, "deadline"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			res, body := b.post(tc.path, tc.key, tc.body, tc.header...)
+			if res.StatusCode != tc.status || gjson.Get(body, "error.code").String() != tc.code {
+				t.Fatalf("got %d %s, want %d %s", res.StatusCode, body, tc.status, tc.code)
+			}
+			if gjson.Get(body, "error.remedy").String() == "" || gjson.Get(body, "error.request_id").String() == "" {
+				t.Errorf("no remedy or request id: %s", body)
+			}
+			want := "not run"
+			if tc.code == "deadline" {
+				want = "may have run"
+			}
+			if got := gjson.Get(body, "error.ran").String(); got != want {
+				t.Errorf("ran is %q, want %q", got, want)
+			}
+		})
+	}
+	t.Run("the process goes on", func(t *testing.T) {
+		res, body := b.post("/v1/chat/completions", secretA, chat("x tokens=2", false))
+		if res.StatusCode != http.StatusOK {
+			t.Fatal(res.StatusCode, body)
+		}
+	})
+}
+
+func TestChunkedNonsense(t *testing.T) {
+	b := newBench(t)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nnonsense\r\n", secretA)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, _ := io.ReadAll(res.Body)
+	if res.StatusCode != http.StatusBadRequest || gjson.GetBytes(body, "error.code").String() != "bad_body" {
+		t.Fatalf("got %d %s", res.StatusCode, body)
+	}
+}
+
+func TestKeysReachNoBackendServer(t *testing.T) {
+	b := newBench(t)
+	b.post("/v1/chat/completions", secretA, chat("x tokens=2", false), "X-Copy", secretA, "Cookie", "k="+secretA, "Api-Key", secretA, "Connection", "X-Hop", "X-Hop", "1")
+	b.post("/book/x", secretA, `{}`, "Idempotency-Key", "k1", "X-Kept", "yes")
+	seen := append(b.engines[0].Seen(), b.engines[1].Seen()...)
+	seen = append(seen, b.service.Seen()...)
+	if len(seen) != 2 {
+		t.Fatalf("%d requests reached backend servers, want 2", len(seen))
+	}
+	for _, s := range seen {
+		if strings.Contains(fmt.Sprint(s), secretA) || s.Header.Get("Authorization") != "" || s.Header.Get("X-Hop") != "" {
+			t.Errorf("a backend server saw %v", s)
+		}
+		if s.Header.Get("X-Request-Id") == "" {
+			t.Error("no request id")
+		}
+	}
+	if got := seen[1].Header; got.Get("X-Kept") != "yes" || got.Get("Idempotency-Key") != "k1" {
+		t.Errorf("headers of a plain service were not kept: %v", got)
+	}
+}
+
+func TestWithdrawnKeyEndsWork(t *testing.T) {
+	for name, tc := range map[string]struct {
+		stream bool
+		limit  int
+	}{
+		"an open stream ends with an explicit error": {stream: true, limit: 4096},
+		"queued work is refused":                     {stream: false, limit: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.set.Pools["engines"].Concurrency = tc.limit
+			b.publish(2)
+			if tc.limit == 1 {
+				for range 2 { // both engines are busy with work of organisation b
+					go b.post("/v1/chat/completions", secretB, chat("tokens=4000", false))
+				}
+				waitFor(t, func() bool { return b.gateway.Open() == 2 })
+			}
+			answer := make(chan string, 1)
+			go func() {
+				_, body := b.post("/v1/chat/completions", secretA, chat("tokens=5000", tc.stream))
+				answer <- body
+			}()
+			waitFor(t, func() bool { return b.gateway.Open() == 1+2*(2-min(2, tc.limit)) })
+			if tc.stream {
+				waitFor(t, func() bool { return len(b.engines[0].Seen())+len(b.engines[1].Seen()) > 0 })
+			}
+			next := *b.set
+			next.Keys = map[string]*object.KeySpec{"b": b.set.Keys["b"]}
+			b.set = &next
+			b.publish(3)
+			body := <-answer
+			if !strings.Contains(body, `"code":"key_withdrawn"`) || strings.Contains(body, "[DONE]") {
+				t.Fatalf("got %.300s", body)
+			}
+			want := "may have run"
+			if !tc.stream {
+				want = "not run"
+			}
+			if !strings.Contains(body, `"ran":"`+want+`"`) {
+				t.Errorf("want %q in %.300s", want, body)
+			}
+			if res, _ := b.post("/v1/chat/completions", secretA, chat("x", false)); res.StatusCode != http.StatusUnauthorized {
+				t.Errorf("new work got %d", res.StatusCode)
+			}
+		})
+	}
+}
+
+// waitFor polls until ok, or fails the test after a generous time.
+func waitFor(t testing.TB, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("the condition did not come true")
+}
+
+func TestBrokenStreamNeverEndsClean(t *testing.T) {
+	b := newBench(t)
+	for _, e := range b.engines {
+		e.SetFaults(enginefake.Faults{BreakAfter: 5})
+	}
+	b.set.Routes["m"].Retry.Attempts = 1
+	b.publish(2)
+	req, _ := http.NewRequest(http.MethodPost, b.url+"/v1/chat/completions", strings.NewReader(chat("x tokens=50", true)))
+	req.Header.Set("Authorization", "Bearer "+secretA)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err == nil {
+		t.Error("the answer ended as if it were whole")
+	}
+	if !bytes.Contains(body, []byte(`"error"`)) || bytes.Contains(body, []byte("[DONE]")) {
+		t.Errorf("got %s", body)
+	}
+}
+
+func TestHangUpCancelsWork(t *testing.T) {
+	b := newBench(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/v1/chat/completions", strings.NewReader(chat("x tokens=100000", true)))
+	req.Header.Set("Authorization", "Bearer "+secretA)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if _, err := bufio.NewReader(res.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	waitFor(t, func() bool { return b.gateway.Open() == 0 })
+	output := func() int {
+		n := 0
+		for _, e := range b.engines {
+			for _, k := range e.Counts() {
+				n += k.Output
+			}
+		}
+		return n
+	}
+	waitFor(t, func() bool {
+		before := output()
+		time.Sleep(30 * time.Millisecond)
+		return output() == before
+	})
+}
+
+func TestCutOffHostRefusesKeyedWorkAfterGrace(t *testing.T) {
+	b := newBench(t)
+	b.set.Organisations["a"].CutOffGrace = object.Duration(time.Nanosecond)
+	b.publish(2)
+	time.Sleep(time.Millisecond)
+	if _, body := b.post("/v1/chat/completions", secretA, chat("x", false)); gjson.Get(body, "error.code").String() != "cut_off" {
+		t.Errorf("organisation a got %s", body)
+	}
+	if res, body := b.post("/v1/chat/completions", secretB, chat("x", false)); res.StatusCode != http.StatusOK {
+		t.Errorf("organisation b has a longer grace and got %s", body)
+	}
+	if res, body := b.post("/open/x", "", "{}"); res.StatusCode != http.StatusCreated {
+		t.Errorf("an open route got %s", body)
+	}
+}
+
+func TestUsageIsThatOfTheEngines(t *testing.T) {
+	b := newBench(t)
+	for i := range 20 {
+		b.post("/v1/chat/completions", secretA, chat(fmt.Sprintf("n%d tokens=%d", i, i+1), i%2 == 0))
+	}
+	want := meter.Use{Requests: 20}
+	for _, e := range b.engines {
+		for _, n := range e.Counts() {
+			want.PromptTokens += int64(n.Prompt)
+			want.OutputTokens += int64(n.Output)
+		}
+	}
+	if got := b.meter.Sums()["a"]; got != want || want.OutputTokens != 210 {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
