gateway: flush only before a read that may block, one pass over each event

Cause: each event was flushed by itself, parsed a dozen times and rewritten by a general setter. Now events that come together go out together, members are read in one pass and usage is cut out.

--- a/internal/entry/console/console.go
+++ b/internal/entry/console/console.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -44,6 +45,8 @@
 	e.GET("/status", func(ec echo.Context) error { return ec.JSON(http.StatusOK, c.Status()) })
 	e.GET("/metrics", c.metrics)
 	e.GET("/explain/:id", c.explain)
+	e.GET("/debug/pprof/*", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
+	e.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
 	for path, h := range c.Extra {
 		e.Any(path, echo.WrapHandler(h))
 	}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -36,6 +36,10 @@
 // DefaultLimits are used where a limit is zero.
 var DefaultLimits = Limits{BodyBytes: 8 << 20, HeaderBytes: 64 << 10, ReadTime: 30 * time.Second, WriteStall: 20 * time.Second}
 
+// backendBufferBytes is the size of each of the two buffers of a connection to a backend server. An
+// event of a stream is a few hundred bytes, and a host holds thousands of streams.
+const backendBufferBytes = 1 << 10
+
 // Counter takes what organisations use.
 type Counter interface {
 	Count(organisation string, u meter.Use)
@@ -103,6 +107,8 @@
 			MaxIdleConnsPerHost: 256,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
+			ReadBufferSize:      backendBufferBytes,
+			WriteBufferSize:     backendBufferBytes,
 		},
 	}
 	for _, o := range opts {
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
 	"github.com/tmaxmax/go-sse"
@@ -24,92 +24,105 @@
 	progressTokens = 16
 )
 
-var errSlowReader = errors.New("the caller reads too slowly")
-
 // relayStream passes on a stream event by event. A stream that ends without its last event is broken.
 func (g *Gateway) relayStream(ctx context.Context, c *call, answer *http.Response, res *request.Result) *Fault {
 	_, span := g.tracer.Start(ctx, "relay")
 	defer span.End()
-	s := &stream{g: g, c: c, res: res, rc: http.NewResponseController(c.w), before: c.answer.tokens}
+	s := &stream{g: g, c: c, res: res, rc: http.NewResponseController(c.w), from: answer.Body, before: c.answer.tokens}
 	res.Outcome = request.Broken
-	for ev, err := range sse.Read(answer.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	for ev, err := range sse.Read(s, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
-			return nil
+			break
 		}
 		if ev.Data == endOfStream {
 			return s.finish()
 		}
-		if err := s.event(ev.Data); err != nil {
+		if s.event(ev.Data) != nil {
 			// The caller is gone or reads too slowly: closing the body cancels the work on the engine.
 			res.Outcome = request.Cancelled
 			return nil
 		}
 	}
+	if s.writeErr != nil {
+		res.Outcome = request.Cancelled
+	}
 	return nil
 }
 
-// stream is one attempt's part of a streamed answer.
+// stream is one attempt's part of a streamed answer. It is the reader of the engine's events:
+// what was written to the caller is flushed only before a read that may block, so that events
+// which come together go out together and none waits for the next.
 type stream struct {
-	g   *Gateway
-	c   *call
-	res *request.Result
-	rc  *http.ResponseController
+	g    *Gateway
+	c    *call
+	res  *request.Result
+	rc   *http.ResponseController
+	from io.Reader
 	// before is how many tokens the caller had from earlier attempts.
 	before int
 	// told is how many tokens the decisions know of.
 	told int
 	// sawFinish tells that the engine gave the reason why the answer is over.
 	sawFinish bool
+	unflushed bool
+	writeErr  error
+}
+
+// Read implements [io.Reader] on the engine's events.
+func (s *stream) Read(p []byte) (int, error) {
+	if err := s.flush(); err != nil {
+		return 0, err
+	}
+	return s.from.Read(p)
+}
+
+func (s *stream) flush() error {
+	if !s.unflushed || s.writeErr != nil {
+		return s.writeErr
+	}
+	s.unflushed = false
+	_ = s.rc.SetWriteDeadline(time.Now().Add(s.g.limits.WriteStall))
+	s.writeErr = s.rc.Flush()
+	return s.writeErr
 }
 
 // event passes on one event.
 func (s *stream) event(data string) error {
-	v := gjson.Parse(data)
-	s.usage(v.Get("usage"))
-	choices := v.Get("choices")
-	if len(choices.Array()) == 0 {
+	e := readEvent(data)
+	s.usage(e.usage)
+	if e.choices == 0 {
 		return s.usageEvent(data)
 	}
-	text, plain := textOf(choices)
-	if !plain {
+	if !e.plain {
 		s.c.answer.unresumable = true
 	}
-	finished := choices.Get("0.finish_reason").String() != ""
-	if s.before > 0 && text == "" && !finished {
+	if s.before > 0 && e.text == "" && !e.finished {
 		// The caller got the opening event from the first attempt.
 		return nil
 	}
-	if err := s.send(s.rewrite(data, v)); err != nil {
+	if err := s.send(s.rewrite(data, e)); err != nil {
 		return err
 	}
-	s.sawFinish = s.sawFinish || finished
-	if text != "" {
-		s.token(text)
+	s.sawFinish = s.sawFinish || e.finished
+	if e.text != "" {
+		s.token(e.text)
 	}
 	return nil
 }
 
-// textOf returns the text that an event adds, and whether it holds nothing but text of one choice.
-func textOf(choices gjson.Result) (text string, plain bool) {
-	first := choices.Get("0")
-	if choices.Get("1").Exists() || first.Get("index").Int() != 0 || first.Get("logprobs").IsObject() {
-		return first.Get("delta.content").String() + first.Get("text").String(), false
-	}
-	d := first.Get("delta")
-	if d.Get("tool_calls").Exists() || d.Get("function_call").Exists() || d.Get("reasoning_content").String() != "" {
-		return d.Get("content").String(), false
-	}
-	return d.Get("content").String() + first.Get("text").String(), true
-}
-
 // usage takes the engine's own count, which is exact also when the stream breaks off.
 func (s *stream) usage(u gjson.Result) {
-	if !u.IsObject() {
-		return
-	}
-	s.res.OutputTokens = int(u.Get("completion_tokens").Int())
-	s.res.PromptTokens = int(u.Get("prompt_tokens").Int())
-	s.res.CachedTokens = int(u.Get("prompt_tokens_details.cached_tokens").Int())
+	u.ForEach(func(k, v gjson.Result) bool {
+		switch k.Str {
+		case "completion_tokens":
+			s.res.OutputTokens = int(v.Num)
+		case "prompt_tokens":
+			s.res.PromptTokens = int(v.Num)
+		case "prompt_tokens_details":
+			s.res.CachedTokens = int(v.Get("cached_tokens").Num)
+		}
+		return true
+	})
 }
 
 // token notes that text reached the caller.
@@ -134,15 +147,15 @@
 }
 
 // rewrite gives a resumed stream the id of the first attempt, and removes usage that the caller did not ask for.
-func (s *stream) rewrite(data string, v gjson.Result) string {
+func (s *stream) rewrite(data string, e event) string {
+	if e.usage.Exists() {
+		data = without(data, "usage", e.usage)
+	}
 	if s.c.answer.id == "" {
-		s.c.answer.id = v.Get("id").String()
+		s.c.answer.id = e.id.String()
 	} else if s.before > 0 {
 		data, _ = sjson.Set(data, "id", s.c.answer.id)
 	}
-	if v.Get("usage").Exists() {
-		data, _ = sjson.Delete(data, "usage")
-	}
 	return data
 }
 
@@ -161,7 +174,7 @@
 	return s.send(data)
 }
 
-// send writes one event to the caller within the time of one write.
+// send writes one event to the caller.
 func (s *stream) send(data string) error {
 	if !s.c.answer.begun {
 		h := s.c.w.Header()
@@ -171,15 +184,17 @@
 		s.c.answer.begun = true
 		s.c.answer.prompt = s.res.PromptTokens
 	}
-	_ = s.rc.SetWriteDeadline(time.Now().Add(s.g.limits.WriteStall))
-	buf := make([]byte, 0, len(data)+len("data: \n\n"))
-	buf = append(buf, "data: "...)
-	buf = append(buf, data...)
-	buf = append(buf, "\n\n"...)
-	if _, err := s.c.w.Write(buf); err != nil {
-		return errors.CombineErrors(errSlowReader, err)
-	}
-	return s.rc.Flush()
+	if !s.unflushed {
+		_ = s.rc.SetWriteDeadline(time.Now().Add(s.g.limits.WriteStall))
+	}
+	s.unflushed = true
+	for _, part := range [...]string{"data: ", data, "\n\n"} {
+		if _, err := io.WriteString(s.c.w, part); err != nil {
+			s.writeErr = err
+			return err
+		}
+	}
+	return nil
 }
 
 // finish ends a whole stream. One that never told why it finished is broken.
@@ -187,7 +202,7 @@
 	if !s.sawFinish {
 		return nil
 	}
-	if err := s.send(endOfStream); err != nil {
+	if s.send(endOfStream) != nil || s.flush() != nil {
 		s.res.Outcome = request.Cancelled
 		return nil
 	}
