lease: leases of roles by conditional update

The holder counts its term from before the request that was granted, numbers its requests, and takes a lost answer for a grant only from the request that really wrote the record. A successor waits term and margin from its own first observation of an unchanged version. A grant needs the monotonic and the wall clock, because the first stands still while a virtual machine is suspended.

Found by the interleaving driver and mended: a holder that learned of its grant from a watch could expire without ever reading again (late effects, slow platform); a read that a watch had overtaken began the wait for a released lease anew; a host that read rarely bid on stale versions, one conflict a poll.

--- /dev/null
+++ b/internal/fleet/lease/manager_test.go
@@ -0,0 +1,182 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"shallotramp/internal/fleet/lease"
+	"shallotramp/internal/platform/fake"
+	"shallotramp/internal/platform/store"
+)
+
+// host is a running manager.
+type host struct {
+	*lease.Manager
+	stop context.CancelFunc
+	done chan error
+}
+
+func start(st store.Store, name string) *host {
+	h := &host{Manager: lease.NewManager(st, name), done: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	go h.Run(ctx, h.done)
+	return h
+}
+
+func (h *host) end() {
+	h.stop()
+	<-h.done
+}
+
+func holders(leases ...*lease.Lease) int {
+	n := 0
+	for _, l := range leases {
+		if l.Valid(time.Now()) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestPlannedStopHandsOverWithinASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fake.NewStore()
+		a := start(st, "a")
+		la := a.Campaign("usage")
+		time.Sleep(time.Second)
+		first, ok := la.Held(time.Now())
+		if !ok || <-la.Changes() != lease.Held {
+			t.Fatal("a free role was not taken within a second")
+		}
+		b := start(st, "b")
+		lb := b.Campaign("usage")
+		defer b.end()
+		time.Sleep(30 * time.Second)
+		if !la.Valid(time.Now()) || lb.Valid(time.Now()) {
+			t.Fatal("the role moved without a reason")
+		}
+		a.end()
+		if la.Valid(time.Now()) {
+			t.Error("a stopped host still holds the role")
+		}
+		time.Sleep(time.Second)
+		next, ok := lb.Held(time.Now())
+		if !ok || next <= first {
+			t.Errorf("fence %d after %d, held %v: want a higher one within a second", next, first, ok)
+		}
+	})
+}
+
+func TestResignMovesOneRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fake.NewStore()
+		a, b := start(st, "a"), start(st, "b")
+		defer a.end()
+		defer b.end()
+		la := a.Campaign("orders")
+		time.Sleep(time.Second)
+		lb := b.Campaign("orders")
+		time.Sleep(time.Second)
+		st.SetFaults(fake.Faults{LoseAnswers: 1})
+		if err := la.Resign(context.Background()); err != nil || la.Valid(time.Now()) {
+			t.Fatalf("resigned with %v, still valid %v", err, la.Valid(time.Now()))
+		}
+		time.Sleep(time.Second)
+		if !lb.Valid(time.Now()) {
+			t.Error("no successor a second after a resignation whose answer was lost")
+		}
+		st.SetFaults(fake.Faults{Down: true})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := lb.Resign(ctx); err == nil || lb.Valid(time.Now()) {
+			t.Error("a release that the platform has not confirmed must be told, and the role not held")
+		}
+	})
+}
+
+func TestHolderStopsByItselfWhenThePlatformIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fake.NewStore()
+		a, b := start(st, "a"), start(st, "b")
+		defer a.end()
+		defer b.end()
+		la, lb := a.Campaign("orders"), b.Campaign("orders")
+		time.Sleep(5 * time.Second)
+		if holders(la, lb) != 1 {
+			t.Fatal("not one holder")
+		}
+		st.SetFaults(fake.Faults{Down: true})
+		time.Sleep(lease.DefaultConfig().Term)
+		if holders(la, lb) != 0 {
+			t.Error("a term after the platform went down the role is still held")
+		}
+		time.Sleep(time.Hour)
+		st.SetFaults(fake.Faults{Delay: 2 * time.Second})
+		time.Sleep(30 * time.Second)
+		if holders(la, lb) != 1 {
+			t.Error("no holder 30 s after the platform came back with 2 s a call")
+		}
+	})
+}
+
+func TestRolesAreSpread(t *testing.T) {
+	const roles, hosts = 24, 4
+	synctest.Test(t, func(t *testing.T) {
+		st := fake.NewStore()
+		held := map[int][]*lease.Lease{}
+		for i := range hosts {
+			h := start(st, fmt.Sprint(i))
+			defer h.end()
+			for r := range roles {
+				held[i] = append(held[i], h.Campaign(fmt.Sprintf("role-%d", r)))
+			}
+		}
+		time.Sleep(5 * time.Second)
+		total := 0
+		for i := range hosts {
+			n := holders(held[i]...)
+			total += n
+			if n < 1 || n > roles/2 {
+				t.Errorf("host %d holds %d of %d roles", i, n, roles)
+			}
+		}
+		if total != roles {
+			t.Errorf("%d of %d roles are held", total, roles)
+		}
+	})
+}
+
+func TestHostsThatAreNotEagerRarelyRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fake.NewStore()
+		a, b := start(st, "a"), start(st, "b")
+		defer a.end()
+		defer b.end()
+		a.Campaign("usage")
+		time.Sleep(time.Second)
+		lb := b.Campaign("usage")
+		b.SetEager(false)
+		time.Sleep(time.Minute)
+		before := st.Counts()
+		time.Sleep(8 * time.Minute)
+		after := st.Counts()
+		// The holder only renews; the other reads each 32 s.
+		if n := after.Reads - before.Reads; n > 16 {
+			t.Errorf("%d reads in eight minutes", n)
+		}
+		if n := after.Writes - before.Writes; n > 8*60/3+1 {
+			t.Errorf("%d writes in eight minutes", n)
+		}
+		a.end()
+		b.Hint("usage")
+		a.done <- nil
+		time.Sleep(time.Second)
+		if !lb.Valid(time.Now()) {
+			t.Error("a hint did not move the role within a second")
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/lease/platform.go
@@ -0,0 +1,118 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"shallotramp/internal/platform/store"
+)
+
+// call carries one effect to the platform and its result back.
+func (m *Manager) call(ctx context.Context, l *Lease, e Effect) {
+	defer m.calls.Done()
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.Term/3)
+	defer cancel()
+	if e.Call == ReadCall {
+		s, err := m.read(ctx, l.name)
+		m.post(func(now time.Time) {
+			m.step(l, now, func(now time.Time) []Effect {
+				if err != nil {
+					return l.core.ReadFailed(now)
+				}
+				return l.core.Seen(now, s, true)
+			})
+		})
+		return
+	}
+	o, version := m.write(ctx, l.name, e)
+	m.post(func(now time.Time) {
+		m.step(l, now, func(now time.Time) []Effect { return l.core.Answer(now, e, o, version) })
+	})
+}
+
+func (m *Manager) read(ctx context.Context, name string) (Seen, error) {
+	o, err := m.store.Get(ctx, Kind, name)
+	if store.Failed(err, store.NotFound) {
+		return Seen{}, nil
+	}
+	if err != nil {
+		return Seen{}, err
+	}
+	return seenOf(o)
+}
+
+func seenOf(o store.Object) (Seen, error) {
+	s := Seen{Found: true, Version: o.Version}
+	return s, json.Unmarshal(o.Spec, &s.Record)
+}
+
+func (m *Manager) write(ctx context.Context, name string, e Effect) (Outcome, string) {
+	spec, err := json.Marshal(e.Record)
+	if err != nil {
+		return NotWritten, ""
+	}
+	o := store.Object{Kind: Kind, Name: name, Version: e.Version, Spec: spec}
+	if e.Call == CreateCall {
+		o, err = m.store.Create(ctx, o)
+	} else {
+		o, err = m.store.Update(ctx, o)
+	}
+	switch {
+	case err == nil:
+		return Written, o.Version
+	case store.Failed(err, store.Unavailable):
+		return Lost, ""
+	}
+	return NotWritten, ""
+}
+
+// watch passes on the changes of leases while the manager is eager.
+func (m *Manager) watch(ctx context.Context) {
+	defer m.calls.Done()
+	for ctx.Err() == nil {
+		if m.eager.Load() {
+			m.follow(ctx)
+		}
+		select {
+		case <-time.After(m.cfg.Poll):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (m *Manager) follow(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	events, err := m.store.Watch(ctx, Kind, "", "")
+	if err != nil {
+		return
+	}
+	for ev := range events {
+		if !m.eager.Load() {
+			return
+		}
+		m.passOn(ev)
+	}
+}
+
+func (m *Manager) passOn(ev store.Event) {
+	if ev.Type == store.Bookmark {
+		return
+	}
+	s, err := seenOf(ev.Object)
+	if err != nil {
+		return
+	}
+	if ev.Type == store.Deleted {
+		s = Seen{}
+	}
+	m.post(func(now time.Time) {
+		for _, l := range slices.Clone(m.leases) {
+			if l.name == ev.Object.Name {
+				m.step(l, now, func(now time.Time) []Effect { return l.core.Seen(now, s, false) })
+			}
+		}
+	})
+}
