--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -49,6 +49,17 @@
 	Used map[string]int64
 	// Marked lists fingerprints of requests that crashed servers, with the crash count.
 	Marked map[uint64]int
+	// Pools tells of the queue and running work of each pool, by class.
+	Pools map[string]map[string]ClassState
+	// Served counts tokens of work since the host started, by class and organisation; entries
+	// that have not changed of late may be missing.
+	Served map[string]map[string]int64
+}
+
+// ClassState is what a host tells of a class in a pool.
+type ClassState struct {
+	// Waiting counts requests that wait, Sheddable those of them that have not run.
+	Waiting, Sheddable, Running int
 }
 
 // RefusalReason tells why a request is refused.
--- /dev/null
+++ b/internal/traffic/queue/class.go
@@ -0,0 +1,202 @@
+package queue
+
+import (
+	"time"
+)
+
+// flow is the waiting work of one organisation in one class.
+type flow struct {
+	name   string
+	weight float64
+	// used is the work done for the organisation, decayed over time, per unit of weight.
+	used float64
+	// queued is the estimated work that waits.
+	queued float64
+	// onTime and late hold items that can and cannot start within their latency target any more.
+	onTime, late Heap[*Item]
+	// Places in the heaps of the class; -1 outside.
+	readyPlace, latePlace, longestPlace int
+}
+
+// Class is the waiting work of one class in one pool on one host, in fair order.
+type Class struct {
+	Name string
+	Tier int
+	// Rank numbers the tiers of the pool from 1.
+	Rank int
+	// Floor is the class's share of the pool, from 0 to 1, while it has work waiting.
+	Floor float64
+	// Target is the wait that the first-token target allows.
+	Target time.Duration
+	// Running counts the host's own running requests, PeerRunning and PeerWaiting those of other hosts.
+	Running, PeerRunning, PeerWaiting int
+	// LastStart is when work of the class was last started, or when work came to wait in an idle class.
+	LastStart time.Time
+
+	clock   decay
+	flows   map[string]*flow
+	ready   Heap[*flow]
+	late    Heap[*flow]
+	longest Heap[*flow]
+	due     Heap[*Item]
+	expiry  Heap[*Item]
+	waiting int
+	urgent  int
+}
+
+func newClass(name string) *Class {
+	byUse := func(a, b *flow) bool { return a.used < b.used }
+	return &Class{
+		Name: name, flows: map[string]*flow{},
+		ready:   NewHeap(byUse, func(f *flow, i int) { f.readyPlace = i }),
+		late:    NewHeap(byUse, func(f *flow, i int) { f.latePlace = i }),
+		longest: NewHeap(func(a, b *flow) bool { return a.queued/a.weight > b.queued/b.weight }, func(f *flow, i int) { f.longestPlace = i }),
+		due:     NewHeap(func(a, b *Item) bool { return a.Due.Before(b.Due) }, func(it *Item, i int) { it.duePlace = i }),
+		expiry:  NewHeap(func(a, b *Item) bool { return a.Request.Deadline.Before(b.Request.Deadline) }, func(it *Item, i int) { it.expiryPlace = i }),
+	}
+}
+
+// Waiting returns the number of items that wait.
+func (c *Class) Waiting() int { return c.waiting }
+
+// Sheddable returns the number of waiting items that have not run yet.
+func (c *Class) Sheddable() int { return c.waiting - c.urgent }
+
+func (c *Class) flow(org string) *flow {
+	f, ok := c.flows[org]
+	if !ok {
+		order := func(a, b *Item) bool { return a.before(b) }
+		placed := func(it *Item, i int) { it.place = i }
+		f = &flow{name: org, weight: 1, onTime: NewHeap(order, placed), late: NewHeap(order, placed), readyPlace: -1, latePlace: -1, longestPlace: -1}
+		c.flows[org] = f
+	}
+	return f
+}
+
+func (c *Class) push(now time.Time, it *Item) {
+	if c.waiting == 0 && c.LastStart.Before(now) && c.Running == 0 {
+		c.LastStart = now
+	}
+	f := c.flow(it.Request.Organisation)
+	it.flow, it.class = f, c
+	it.isLate = !it.Resumed && now.After(it.Due)
+	c.heapOf(it).Push(it)
+	if !it.isLate && !it.Resumed {
+		c.due.Push(it)
+	}
+	c.expiry.Push(it)
+	f.queued += it.Cost
+	c.waiting++
+	if it.Resumed {
+		c.urgent++
+	}
+	c.place(f)
+}
+
+func (c *Class) heapOf(it *Item) *Heap[*Item] {
+	if it.isLate {
+		return &it.flow.late
+	}
+	return &it.flow.onTime
+}
+
+// place keeps f in those heaps of the class in which it has something.
+func (c *Class) place(f *flow) {
+	settle(&c.ready, f, f.readyPlace, f.onTime.Len() > 0)
+	settle(&c.late, f, f.latePlace, f.late.Len() > 0)
+	settle(&c.longest, f, f.longestPlace, f.onTime.Len()+f.late.Len() > 0)
+}
+
+func settle(h *Heap[*flow], f *flow, place int, in bool) {
+	switch {
+	case in && place < 0:
+		h.Push(f)
+	case in:
+		h.Fix(place)
+	case place >= 0:
+		h.Remove(place)
+	}
+}
+
+func (c *Class) remove(it *Item) {
+	f := it.flow
+	c.heapOf(it).Remove(it.place)
+	if it.duePlace >= 0 {
+		c.due.Remove(it.duePlace)
+	}
+	if it.expiryPlace >= 0 {
+		c.expiry.Remove(it.expiryPlace)
+	}
+	f.queued -= it.Cost
+	c.waiting--
+	if it.Resumed {
+		c.urgent--
+	}
+	it.class, it.flow = nil, nil
+	c.place(f)
+}
+
+// head returns the item to start next: of the organisation with the least use, work in time first.
+func (c *Class) head() *Item {
+	if c.ready.Len() > 0 {
+		return c.ready.Peek().onTime.Peek()
+	}
+	if c.late.Len() > 0 {
+		return c.late.Peek().late.Peek()
+	}
+	return nil
+}
+
+// pass moves items that cannot start within their target any more behind those that can.
+func (c *Class) pass(now time.Time) {
+	for c.due.Len() > 0 && now.After(c.due.Peek().Due) {
+		it := c.due.Pop()
+		it.flow.onTime.Remove(it.place)
+		it.isLate = true
+		it.flow.late.Push(it)
+		c.place(it.flow)
+	}
+}
+
+// charge adds work done for an organisation, or takes it back when negative.
+func (c *Class) charge(now time.Time, org string, work float64) {
+	if c.clock.stale(now) {
+		factor := c.clock.restart(now)
+		for _, f := range c.flows {
+			f.used *= factor
+		}
+	}
+	f := c.flow(org)
+	f.used = max(0, f.used+work/f.weight*c.clock.growth(now))
+	c.place(f)
+}
+
+// victim returns the item to shed first: late work, then the newest, of the organisation with the most waiting.
+func (c *Class) victim() *Item {
+	for i := range c.longest.Len() {
+		f := c.longest.At(i)
+		if it := last(&f.late); it != nil {
+			return it
+		}
+		if it := last(&f.onTime); it != nil {
+			return it
+		}
+	}
+	return nil
+}
+
+// lastCandidates bounds the search for the last item of an organisation.
+const lastCandidates = 8
+
+// last returns about the newest item of h that has not run. Items come in about the order in
+// which they are due, so the newest is among the last leaves.
+func last(h *Heap[*Item]) *Item {
+	var out *Item
+	for i := h.Len() - 1; i >= max(0, h.Len()-lastCandidates); i-- {
+		it := h.At(i)
+		if !it.Resumed && (out == nil || out.before(it)) {
+			out = it
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/traffic/scheduler/entry.go
@@ -0,0 +1,38 @@
+package scheduler
+
+import (
+	"time"
+
+	"shallotramp/internal/traffic/queue"
+	"shallotramp/internal/traffic/request"
+)
+
+// entry is a request in the scheduler's care.
+type entry struct {
+	req  *request.Request
+	pool *pool
+	item *queue.Item
+	// starts counts attempts, and tries those that count against the route's attempts.
+	starts, tries int
+	// server is set while an attempt runs.
+	server  string
+	started time.Time
+	ran     request.Ran
+	exclude []string
+	// notBefore is when a delayed retry may start.
+	notBefore time.Time
+	// charged is the work that the organisation was charged for the running attempt.
+	charged float64
+	// generated counts the tokens of the running attempt, and before those of earlier ones.
+	generated, before int
+	preempting        bool
+	// Places in the heaps of the pool; -1 outside.
+	delayPlace, victimPlace int
+}
+
+// work returns the work of the running attempt so far.
+func (e *entry) work() float64 { return queue.Work(e.req.PromptTokens, float64(e.generated)) }
+
+// waste estimates the work that is done again when the running attempt is preempted: its
+// input and what it generated are read again.
+func (e *entry) waste() float64 { return queue.Work(e.req.PromptTokens+e.generated, 0) }
--- /dev/null
+++ b/internal/traffic/scheduler/pool.go
@@ -0,0 +1,189 @@
+package scheduler
+
+import (
+	"time"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/queue"
+)
+
+const (
+	// firstService is the time taken for one request before any was observed.
+	firstService = 2 * time.Second
+	// firstOutput is the output taken for one request before any was observed, in tokens.
+	firstOutput = 128
+	// enoughAnswers is how many answers of an organisation its own estimate needs.
+	enoughAnswers = 20
+	// targetShare is the part of a latency target, beside the time of the first token itself, that waiting may take.
+	targetShare = 0.8
+	// untargetedShare is the part of a deadline that work without a latency target may wait.
+	untargetedShare = 0.25
+)
+
+// pool is what the scheduler knows of one pool.
+type pool struct {
+	name        string
+	engine      bool
+	concurrency int
+	q           *queue.Queue
+	stats       map[string]*stats
+	// peers holds what other hosts told, by host and class.
+	peers   map[string]map[string]dispatch.ClassState
+	delayed queue.Heap[*entry]
+	victims queue.Heap[*entry]
+	// preempting counts attempts that are being preempted.
+	preempting int
+	// allowance is the work that preemption may still waste.
+	allowance float64
+}
+
+// stats are observations of one class in a pool.
+type stats struct {
+	// service is the time of a request on its server, and prefill that until its first token, in seconds.
+	service, prefill average
+	lengths          queue.Lengths
+	orgs             map[string]*queue.Lengths
+	// peerSheddable counts the waiting requests of other hosts that have not run.
+	peerSheddable int
+}
+
+func newPool(name string) *pool {
+	return &pool{
+		name: name, q: queue.New(), stats: map[string]*stats{}, peers: map[string]map[string]dispatch.ClassState{},
+		delayed: queue.NewHeap(func(a, b *entry) bool { return a.notBefore.Before(b.notBefore) }, func(e *entry, i int) { e.delayPlace = i }),
+		victims: queue.NewHeap(cheaperVictim, func(e *entry, i int) { e.victimPlace = i }),
+	}
+}
+
+func cheaperVictim(a, b *entry) bool {
+	if a.req.Tier != b.req.Tier {
+		return a.req.Tier > b.req.Tier
+	}
+	return a.waste() < b.waste()
+}
+
+// configure adopts the pool's part of a release.
+func (p *pool) configure(s *release.Snapshot, spec *object.PoolSpec, weights map[string]float64) {
+	p.concurrency = spec.Concurrency
+	p.engine = spec.Protocol == object.Engine
+	names := map[string]bool{}
+	for _, r := range s.Set.Routes {
+		if r.Pool != p.name {
+			continue
+		}
+		for _, c := range r.Classes {
+			names[c] = true
+		}
+	}
+	var levels []queue.Level
+	for name := range names {
+		c, ok := s.Set.Classes[name]
+		if !ok {
+			continue
+		}
+		target := time.Duration(float64(c.Deadline.Or(object.DefaultDeadline)) * untargetedShare)
+		if c.FirstToken > 0 {
+			target = time.Duration(c.FirstToken)
+		}
+		levels = append(levels, queue.Level{Name: name, Tier: c.Tier, Floor: c.Floor, Target: target})
+	}
+	p.q.Configure(levels, weights)
+	p.q.Forget(func(org string) bool { _, ok := s.Set.Organisations[org]; return ok || org == "" })
+}
+
+func (p *pool) class(name string) *stats {
+	st, ok := p.stats[name]
+	if !ok {
+		st = &stats{orgs: map[string]*queue.Lengths{}}
+		p.stats[name] = st
+	}
+	return st
+}
+
+// lengths returns the observed outputs that estimate those of an organisation.
+func (st *stats) lengthsOf(org string) *queue.Lengths {
+	if l, ok := st.orgs[org]; ok && l.Seen() >= enoughAnswers {
+		return l
+	}
+	return &st.lengths
+}
+
+func (st *stats) observe(org string, n int) {
+	st.lengths.Observe(n)
+	l, ok := st.orgs[org]
+	if !ok {
+		l = &queue.Lengths{}
+		st.orgs[org] = l
+	}
+	l.Observe(n)
+}
+
+// estimate returns the expected work of a request that has before tokens already.
+func (p *pool) estimate(e *entry) float64 {
+	if !p.engine {
+		return 1
+	}
+	l := p.class(e.req.Class).lengthsOf(e.req.Organisation)
+	n := l.Mean()
+	if l.Seen() == 0 {
+		n = firstOutput
+	}
+	if e.before > 0 {
+		n = l.Remaining(e.before)
+	}
+	if limit := e.req.MaxTokens; limit > 0 {
+		n = min(n, float64(max(1, limit-e.before)))
+	}
+	return queue.Work(e.req.PromptTokens, n)
+}
+
+// due returns the latest start of an arriving request that meets its latency target.
+func (p *pool) due(e *entry) time.Time {
+	c := p.q.Class(e.req.Class)
+	prefill := time.Duration(p.class(e.req.Class).prefill.or(0) * float64(time.Second))
+	return e.req.Arrived.Add(max(c.Target/4, c.Target-prefill))
+}
+
+// running counts the running requests of all hosts.
+func (p *pool) running() int {
+	n := 0
+	for _, c := range p.q.Classes() {
+		n += c.Running + c.PeerRunning
+	}
+	return n
+}
+
+// merge replaces what host told of the pool; nil forgets the host.
+func (p *pool) merge(host string, told map[string]dispatch.ClassState) {
+	for name, s := range p.peers[host] {
+		p.add(name, s, -1)
+	}
+	delete(p.peers, host)
+	if told != nil {
+		p.peers[host] = told
+	}
+	for name, s := range told {
+		p.add(name, s, 1)
+	}
+}
+
+func (p *pool) add(class string, s dispatch.ClassState, sign int) {
+	c := p.q.Class(class)
+	c.PeerWaiting += sign * s.Waiting
+	c.PeerRunning += sign * s.Running
+	p.class(class).peerSheddable += sign * s.Sheddable
+}
+
+// state returns what the host tells of the pool.
+func (p *pool) state() map[string]dispatch.ClassState {
+	out := map[string]dispatch.ClassState{}
+	for _, c := range p.q.Classes() {
+		s := dispatch.ClassState{Waiting: c.Waiting(), Sheddable: c.Sheddable(), Running: c.Running}
+		if s != (dispatch.ClassState{}) {
+			out[c.Name] = s
+		}
+	}
+	return out
+}
