--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -49,13 +49,21 @@
 	Used map[string]int64
 	// Marked lists fingerprints of requests that crashed servers, with the crash count.
 	Marked map[uint64]int
-	// Pools tells of the queue and running work of each pool, by class.
-	Pools map[string]map[string]ClassState
+	// Pools tells of the queue and running work of each pool.
+	Pools map[string]PoolState
 	// Served counts tokens of work since the host started, by class and organisation; entries
 	// that have not changed of late may be missing.
 	Served map[string]map[string]int64
 }
 
+// PoolState is what a host tells of a pool.
+type PoolState struct {
+	// Wanted is the highest tier of which the host has so much waiting work that lower tiers should
+	// start by their floors only, and Applied the one after which it starts them so; 0 is none.
+	Wanted, Applied int
+	Classes         map[string]ClassState
+}
+
 // ClassState is what a host tells of a class in a pool.
 type ClassState struct {
 	// Waiting counts requests that wait, Sheddable those of them that have not run.
--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -12,6 +12,8 @@
 	used float64
 	// queued is the estimated work that waits.
 	queued float64
+	// claim is used plus what waits, the order in which organisations lose waiting work.
+	claim float64
 	// onTime and late hold items that can and cannot start within their latency target any more.
 	onTime, late Heap[*Item]
 	// Places in the heaps of the class; -1 outside.
@@ -50,7 +52,7 @@
 		Name: name, flows: map[string]*flow{},
 		ready:   NewHeap(byUse, func(f *flow, i int) { f.readyPlace = i }),
 		late:    NewHeap(byUse, func(f *flow, i int) { f.latePlace = i }),
-		longest: NewHeap(func(a, b *flow) bool { return a.queued/a.weight > b.queued/b.weight }, func(f *flow, i int) { f.longestPlace = i }),
+		longest: NewHeap(func(a, b *flow) bool { return a.claim > b.claim }, func(f *flow, i int) { f.longestPlace = i }),
 		due:     NewHeap(func(a, b *Item) bool { return a.Due.Before(b.Due) }, func(it *Item, i int) { it.duePlace = i }),
 		expiry:  NewHeap(func(a, b *Item) bool { return a.Request.Deadline.Before(b.Request.Deadline) }, func(it *Item, i int) { it.expiryPlace = i }),
 	}
@@ -90,7 +92,7 @@
 	if it.Resumed {
 		c.urgent++
 	}
-	c.place(f)
+	c.place(now, f)
 }
 
 func (c *Class) heapOf(it *Item) *Heap[*Item] {
@@ -101,7 +103,8 @@
 }
 
 // place keeps f in those heaps of the class in which it has something.
-func (c *Class) place(f *flow) {
+func (c *Class) place(now time.Time, f *flow) {
+	f.claim = f.used + f.queued/f.weight*c.clock.growth(now)
 	settle(&c.ready, f, f.readyPlace, f.onTime.Len() > 0)
 	settle(&c.late, f, f.latePlace, f.late.Len() > 0)
 	settle(&c.longest, f, f.longestPlace, f.onTime.Len()+f.late.Len() > 0)
@@ -118,7 +121,7 @@
 	}
 }
 
-func (c *Class) remove(it *Item) {
+func (c *Class) remove(now time.Time, it *Item) {
 	f := it.flow
 	c.heapOf(it).Remove(it.place)
 	if it.duePlace >= 0 {
@@ -133,7 +136,7 @@
 		c.urgent--
 	}
 	it.class, it.flow = nil, nil
-	c.place(f)
+	c.place(now, f)
 }
 
 // head returns the item to start next: of the organisation with the least use, work in time first.
@@ -154,7 +157,7 @@
 		it.flow.onTime.Remove(it.place)
 		it.isLate = true
 		it.flow.late.Push(it)
-		c.place(it.flow)
+		c.place(now, it.flow)
 	}
 }
 
@@ -168,10 +171,10 @@
 	}
 	f := c.flow(org)
 	f.used = max(0, f.used+work/f.weight*c.clock.growth(now))
-	c.place(f)
+	c.place(now, f)
 }
 
-// victim returns the item to shed first: late work, then the newest, of the organisation with the most waiting.
+// victim returns the item to shed first: late work, then the newest, of the organisation with the most work had and waiting.
 func (c *Class) victim() *Item {
 	for i := range c.longest.Len() {
 		f := c.longest.At(i)
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -99,7 +99,7 @@
 
 // Configure sets classes and the weights of organisations, where missing ones weigh 1. Classes
 // that are gone keep their waiting work until it is removed.
-func (q *Queue) Configure(levels []Level, weights map[string]float64) {
+func (q *Queue) Configure(now time.Time, levels []Level, weights map[string]float64) {
 	q.weights = weights
 	for _, l := range levels {
 		c := q.Class(l.Name)
@@ -112,7 +112,7 @@
 			old := f.weight
 			f.weight = q.weight(f.name)
 			f.used *= old / f.weight
-			c.place(f)
+			c.place(now, f)
 		}
 	}
 	q.sort()
@@ -172,9 +172,9 @@
 }
 
 // Remove takes an item out. Items that do not wait are left alone.
-func (q *Queue) Remove(it *Item) {
+func (q *Queue) Remove(now time.Time, it *Item) {
 	if it.class != nil {
-		it.class.remove(it)
+		it.class.remove(now, it)
 	}
 }
 
@@ -199,9 +199,11 @@
 
 // Supply is what the pool offers at a moment.
 type Supply struct {
-	// Slots is how many requests the pool runs at once, over all hosts, and Free how many more it could run.
-	Slots, Free int
-	// Room tells whether work of a rank finds a server now; rank 1 is the pool's first tier.
+	// Slots is how many requests the pool runs at once, over all hosts.
+	Slots int
+	// Level is the highest tier whose lower tiers start by their floors only; 0 is none.
+	Level int
+	// Room tells whether work of a rank finds a place now; rank 1 is the pool's first tier.
 	Room func(rank int) bool
 }
 
@@ -213,33 +215,18 @@
 	if c := q.starved(now, s.Slots); c != nil {
 		return c.head(), true
 	}
-	ahead := 0
 	for i, c := range q.order {
-		if c.waiting > 0 {
-			// Work of a higher tier that waits on another host has the free places first.
-			if ahead > 0 && s.Free <= ahead || !s.Room(c.Rank) {
-				return nil, false
-			}
-			return q.firstOfTier(i).head(), false
+		if c.waiting == 0 {
+			continue
 		}
-		if next := i + 1; next < len(q.order) && q.order[next].Tier > c.Tier {
-			ahead = q.peersWaiting(c.Tier)
+		if s.Level > 0 && c.Tier > s.Level || !s.Room(c.Rank) {
+			return nil, false
 		}
+		return q.firstOfTier(i).head(), false
 	}
 	return nil, false
 }
 
-// peersWaiting counts what waits on other hosts in the tier and those above.
-func (q *Queue) peersWaiting(tier int) int {
-	n := 0
-	for _, c := range q.order {
-		if c.Tier <= tier {
-			n += c.PeerWaiting
-		}
-	}
-	return n
-}
-
 // firstOfTier returns the class with the earliest due head among those that share the tier of the class at place i.
 func (q *Queue) firstOfTier(i int) *Class {
 	best := q.order[i]
@@ -275,7 +262,7 @@
 		c.pass(now)
 		for c.expiry.Len() > 0 && !now.Before(c.expiry.Peek().Request.Deadline) {
 			it := c.expiry.Peek()
-			c.remove(it)
+			c.remove(now, it)
 			out = append(out, it)
 		}
 	}
@@ -283,14 +270,14 @@
 }
 
 // Shed removes items of a class until at most keep wait that may be shed, and returns them.
-func (q *Queue) Shed(c *Class, keep int) []*Item {
+func (q *Queue) Shed(now time.Time, c *Class, keep int) []*Item {
 	var out []*Item
 	for c.Sheddable() > keep {
 		it := c.victim()
 		if it == nil {
 			break
 		}
-		c.remove(it)
+		c.remove(now, it)
 		out = append(out, it)
 	}
 	return out
--- a/internal/traffic/scheduler/choose.go
+++ b/internal/traffic/scheduler/choose.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"shallotramp/internal/catalog/release"
@@ -30,8 +31,6 @@
 }
 
 const (
-	// overcommit is the share of a server's concurrency that first-tier work may wait for on the server.
-	overcommit = 0.25
 	// suspension is how long a server that could not be reached gets no work.
 	suspension = 2 * time.Second
 	// paceMemory is the weight of the newest pace of a server in its average.
@@ -44,6 +43,7 @@
 	servers map[string]*server
 	peers   map[string]map[string]int
 	runs    map[request.ID]*run
+	rnd     *rand.Rand
 }
 
 type serverPool struct {
@@ -61,6 +61,8 @@
 	// interval is the average time between tokens, in seconds.
 	interval float64
 	place    int
+	// bias tells servers of equal load apart, differently on each host.
+	bias float64
 }
 
 type run struct {
@@ -68,15 +70,16 @@
 	last   time.Time
 }
 
-func newLeastOutstanding() *leastOutstanding {
+func newLeastOutstanding(seed uint64) *leastOutstanding {
 	return &leastOutstanding{
 		pools: map[string]*serverPool{}, servers: map[string]*server{},
 		peers: map[string]map[string]int{}, runs: map[request.ID]*run{},
+		rnd: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
 func (s *server) load() float64 {
-	n := float64(s.own + s.others)
+	n := float64(s.own+s.others) + s.bias
 	if s.unusable {
 		return n + 1e9
 	}
@@ -91,7 +94,7 @@
 func newServerPool(concurrency int) *serverPool {
 	return &serverPool{
 		concurrency: concurrency,
-		overcommit:  max(1, int(overcommit*float64(concurrency))),
+		overcommit:  int(envf("OVER", 0.25) * float64(concurrency)),
 		heap: queue.NewHeap(func(a, b *server) bool {
 			if a.load() != b.load() {
 				return a.load() < b.load()
@@ -110,7 +113,7 @@
 		for _, b := range s.Servers(name) {
 			v, ok := old[b.Name]
 			if !ok {
-				v = &server{name: b.Name}
+				v = &server{name: b.Name, bias: c.rnd.Float64()}
 			}
 			v.pool = p
 			c.servers[b.Name] = v
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -22,7 +22,8 @@
 	}
 	q.heard = now
 	for name, pl := range p.pools {
-		pl.merge(h.Host, h.Pools[name])
+		told := h.Pools[name]
+		pl.merge(h.Host, &told)
 	}
 	p.credit(now, q, h.Served)
 	return p.drainAll(now)
@@ -86,13 +87,13 @@
 func (p *Policy) State(now time.Time) dispatch.HostState {
 	out := dispatch.HostState{
 		At: now, Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{},
-		Outstanding: p.chooser.Outstanding(), Pools: map[string]map[string]dispatch.ClassState{},
+		Outstanding: p.chooser.Outstanding(), Pools: map[string]dispatch.PoolState{},
 		Served: p.served.recent(now), Used: p.served.used(now),
 	}
 	for name, pl := range p.pools {
 		s := pl.state()
 		out.Pools[name] = s
-		for class, c := range s {
+		for class, c := range s.Classes {
 			out.Waiting[class] += c.Waiting
 			out.Running[class] += c.Running
 		}
--- a/internal/traffic/scheduler/pool.go
+++ b/internal/traffic/scheduler/pool.go
@@ -30,9 +30,10 @@
 	q           *queue.Queue
 	stats       map[string]*stats
 	// peers holds what other hosts told, by host and class.
-	peers   map[string]map[string]dispatch.ClassState
+	peers   map[string]dispatch.PoolState
 	delayed queue.Heap[*entry]
 	victims queue.Heap[*entry]
+	level   level
 	// preempting counts attempts that are being preempted.
 	preempting int
 	// allowance is the work that preemption may still waste.
@@ -51,7 +52,7 @@
 
 func newPool(name string) *pool {
 	return &pool{
-		name: name, q: queue.New(), stats: map[string]*stats{}, peers: map[string]map[string]dispatch.ClassState{},
+		name: name, q: queue.New(), stats: map[string]*stats{}, peers: map[string]dispatch.PoolState{},
 		delayed: queue.NewHeap(func(a, b *entry) bool { return a.notBefore.Before(b.notBefore) }, func(e *entry, i int) { e.delayPlace = i }),
 		victims: queue.NewHeap(cheaperVictim, func(e *entry, i int) { e.victimPlace = i }),
 	}
@@ -65,7 +66,7 @@
 }
 
 // configure adopts the pool's part of a release.
-func (p *pool) configure(s *release.Snapshot, spec *object.PoolSpec, weights map[string]float64) {
+func (p *pool) configure(now time.Time, s *release.Snapshot, spec *object.PoolSpec, weights map[string]float64) {
 	p.concurrency = spec.Concurrency
 	p.engine = spec.Protocol == object.Engine
 	names := map[string]bool{}
@@ -89,7 +90,7 @@
 		}
 		levels = append(levels, queue.Level{Name: name, Tier: c.Tier, Floor: c.Floor, Target: target})
 	}
-	p.q.Configure(levels, weights)
+	p.q.Configure(now, levels, weights)
 	p.q.Forget(func(org string) bool { _, ok := s.Set.Organisations[org]; return ok || org == "" })
 }
 
@@ -146,25 +147,44 @@
 	return e.req.Arrived.Add(max(c.Target/4, c.Target-prefill))
 }
 
-// running counts the running requests of all hosts.
-func (p *pool) running() int {
-	n := 0
+// running counts the running requests of this and of all hosts.
+func (p *pool) running() (own, all int) {
 	for _, c := range p.q.Classes() {
-		n += c.Running + c.PeerRunning
+		own += c.Running
+		all += c.Running + c.PeerRunning
 	}
-	return n
+	return own, all
+}
+
+// quota returns how many of the pool's places this host may hold: those of all its work in tiers
+// that get all they ask for, and of the next tier a part as large as its part of what is asked.
+// The quotas of all hosts add up to the pool.
+func (p *pool) quota(slots float64) float64 {
+	var quota float64
+	for _, c := range p.q.Classes() {
+		own := float64(c.Running + c.Waiting())
+		all := own + float64(c.PeerRunning+c.PeerWaiting)
+		if all == 0 {
+			continue
+		}
+		given := min(all, slots)
+		quota += own / all * given
+		slots -= given
+	}
+	return quota
 }
 
 // merge replaces what host told of the pool; nil forgets the host.
-func (p *pool) merge(host string, told map[string]dispatch.ClassState) {
-	for name, s := range p.peers[host] {
+func (p *pool) merge(host string, told *dispatch.PoolState) {
+	for name, s := range p.peers[host].Classes {
 		p.add(name, s, -1)
 	}
 	delete(p.peers, host)
-	if told != nil {
-		p.peers[host] = told
+	if told == nil {
+		return
 	}
-	for name, s := range told {
+	p.peers[host] = *told
+	for name, s := range told.Classes {
 		p.add(name, s, 1)
 	}
 }
@@ -177,12 +197,12 @@
 }
 
 // state returns what the host tells of the pool.
-func (p *pool) state() map[string]dispatch.ClassState {
-	out := map[string]dispatch.ClassState{}
+func (p *pool) state() dispatch.PoolState {
+	out := dispatch.PoolState{Wanted: p.level.wanted, Applied: p.level.applied, Classes: map[string]dispatch.ClassState{}}
 	for _, c := range p.q.Classes() {
 		s := dispatch.ClassState{Waiting: c.Waiting(), Sheddable: c.Sheddable(), Running: c.Running}
 		if s != (dispatch.ClassState{}) {
-			out[c.Name] = s
+			out.Classes[c.Name] = s
 		}
 	}
 	return out
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -5,6 +5,9 @@
 package scheduler
 
 import (
+	"os"
+	"strconv"
+
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -53,7 +56,7 @@
 func New(seed uint64, opts ...Option) *Policy {
 	p := &Policy{
 		rnd:     rand.New(rand.NewPCG(seed, 0)),
-		chooser: newLeastOutstanding(),
+		chooser: newLeastOutstanding(seed),
 		retry:   elsewhere{},
 		pools:   map[string]*pool{},
 		entries: map[request.ID]*entry{},
@@ -80,7 +83,7 @@
 		if p.pools[name] == nil {
 			p.pools[name] = newPool(name)
 		}
-		p.pools[name].configure(s, spec, weights)
+		p.pools[name].configure(now, s, spec, weights)
 		for _, b := range s.Servers(name) {
 			p.server[b.Name] = p.pools[name]
 		}
@@ -162,12 +165,13 @@
 
 // settle brings a pool's queue in line with its servers: starts what may start, sheds what must go.
 func (p *Policy) settle(now time.Time, pl *pool) []dispatch.Effect {
+	pl.assess(now, p.slots(pl))
 	out := p.start(now, pl)
-	for _, it := range pl.overload(p.slots(pl)) {
+	for _, it := range pl.overload(now, p.slots(pl)) {
 		out = append(out, p.shed(now, it, "more work of its tier waits than can start in time"))
 	}
 	for p.waiting > maxWaiting {
-		it := p.lowest()
+		it := p.lowest(now)
 		if it == nil {
 			break
 		}
@@ -177,7 +181,7 @@
 }
 
 // lowest removes the least worthy waiting request of the host: of its lowest tier.
-func (p *Policy) lowest() *queue.Item {
+func (p *Policy) lowest(now time.Time) *queue.Item {
 	var class *queue.Class
 	var from *pool
 	for _, pl := range p.pools {
@@ -190,7 +194,7 @@
 	if class == nil {
 		return nil
 	}
-	if items := from.q.Shed(class, class.Sheddable()-1); len(items) > 0 {
+	if items := from.q.Shed(now, class, class.Sheddable()-1); len(items) > 0 {
 		return items[0]
 	}
 	return nil
@@ -211,8 +215,8 @@
 	slots := p.slots(pl)
 	for len(aside) < setAside {
 		s := queue.Supply{
-			Slots: slots, Free: slots - pl.running(),
-			Room: func(rank int) bool { return p.chooser.Room(now, pl.name, rank) },
+			Slots: slots, Level: pl.level.applied,
+			Room: func(rank int) bool { return p.room(now, pl, rank, slots) },
 		}
 		it, floor := pl.q.Next(now, s)
 		if it == nil {
@@ -220,7 +224,7 @@
 		}
 		e := p.entries[it.Request.ID]
 		name, why, ok := p.choose(now, e)
-		p.unqueue(e)
+		p.unqueue(now, e)
 		if !ok {
 			aside = append(aside, e)
 			continue
@@ -236,6 +240,29 @@
 	return out
 }
 
+// reserveShare is the share of a pool's places that only its first tier may use.
+var reserveShare = envf("RES", 0.1)
+
+func envf(n string, d float64) float64 {
+	if v, err := strconv.ParseFloat(os.Getenv(n), 64); err == nil {
+		return v
+	}
+	return d
+}
+
+// room reports whether work of a rank may start: a server has room, and lower tiers leave the
+// first one some places, so that it need not wait for a long answer to end.
+func (p *Policy) room(now time.Time, pl *pool, rank, slots int) bool {
+	if rank > 1 {
+		usable := (1 - reserveShare) * float64(slots)
+		own, all := pl.running()
+		if float64(all) >= usable || float64(own) >= pl.quota(usable) {
+			return false
+		}
+	}
+	return p.chooser.Room(now, pl.name, rank)
+}
+
 // floorWhy begins the explanation of a start that a floor gave.
 const floorWhy = "floor of the class; "
 
@@ -250,9 +277,9 @@
 	return p.chooser.Choose(now, e.req, nil)
 }
 
-func (p *Policy) unqueue(e *entry) {
+func (p *Policy) unqueue(now time.Time, e *entry) {
 	if e.item != nil && e.item.Waiting() {
-		e.pool.q.Remove(e.item)
+		e.pool.q.Remove(now, e.item)
 		p.waiting--
 	}
 }
@@ -277,7 +304,7 @@
 
 // refuse forgets a request, which waits nowhere any more, and answers its caller.
 func (p *Policy) refuse(now time.Time, e *entry, reason dispatch.RefusalReason, why string) dispatch.Effect {
-	p.unqueue(e)
+	p.unqueue(now, e)
 	p.undelay(e)
 	delete(p.entries, e.req.ID)
 	out := dispatch.Effect{Kind: dispatch.Refuse, ID: e.req.ID, Reason: reason, RetryAfter: leastRetry, Ran: e.ran, Why: why}
@@ -293,7 +320,7 @@
 	if !ok || e.server != "" {
 		return nil
 	}
-	p.unqueue(e)
+	p.unqueue(now, e)
 	p.undelay(e)
 	delete(p.entries, id)
 	if e.pool == nil {
--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"math"
 	"time"
 
 	"shallotramp/internal/traffic/queue"
@@ -61,37 +60,94 @@
 	return c.Floor * float64(slots)
 }
 
-// victims removes the waiting work that must be shed so that the rest meets its targets. The
-// highest tier with too much work sets the level. Lower tiers keep what their floors serve;
-// the level's own work is shed only after all hosts have told that lower tiers are down to that.
-func (p *pool) overload(slots int) []*queue.Item {
-	list := p.outlooks(slots)
-	level := math.MaxInt
-	for _, o := range list {
-		if o.waiting > o.allowed {
-			level = o.class.Tier
+// level is the state of shedding in a pool. Hosts want a level when much of a tier waits, apply
+// the highest that any of them wants, and shed work of a tier only after all of them have applied
+// its level for a while, so that no lower tier is served beyond its floor meanwhile.
+type level struct {
+	wanted, applied int
+	// until is when an applied level ends that nobody wants any more.
+	until time.Time
+	// agreed is since when all hosts apply the level agreedOn or a higher tier.
+	agreed   time.Time
+	agreedOn int
+}
+
+const (
+	// wantShare is the share of what may wait of a tier at which lower tiers are held back.
+	wantShare = 0.5
+	// levelHold is how long a level stays after nobody wants it.
+	levelHold = time.Second
+	// settleTime is how long all hosts have applied a level before work of its tier is shed.
+	settleTime = 300 * time.Millisecond
+)
+
+// assess updates the level of the pool.
+func (p *pool) assess(now time.Time, slots int) {
+	l := &p.level
+	l.wanted = 0
+	for _, o := range p.outlooks(slots) {
+		if float64(o.waiting) > wantShare*float64(o.allowed) {
+			l.wanted = o.class.Tier
+			break
+		}
+	}
+	want := l.wanted
+	for _, s := range p.peers {
+		want = higher(want, s.Wanted)
+	}
+	if want != 0 && (l.applied == 0 || want <= l.applied) || !now.Before(l.until) {
+		l.applied, l.until = want, now.Add(levelHold)
+	}
+	p.agree(now)
+}
+
+// higher returns the higher of two tiers, where 0 is none.
+func higher(a, b int) int {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// agree notes since when all hosts apply a level.
+func (p *pool) agree(now time.Time) {
+	l := &p.level
+	on := l.applied
+	for _, s := range p.peers {
+		if s.Applied == 0 || on == 0 {
+			on = 0
 			break
 		}
+		on = max(on, s.Applied)
+	}
+	if on == 0 || l.agreedOn == 0 || on > l.agreedOn {
+		l.agreed = now
 	}
+	l.agreedOn = on
+}
+
+// overload removes the waiting work that must be shed so that the rest meets its targets. Tiers
+// below the applied level keep what their floors serve within their targets. A tier with more
+// waiting than can meet its target is cut to that, once no host serves lower tiers beyond floors.
+func (p *pool) overload(now time.Time, slots int) []*queue.Item {
 	var out []*queue.Item
+	l := &p.level
 	hosts := 1 + len(p.peers)
-	lowerGone := true
-	for i := len(list) - 1; i >= 0 && list[i].class.Tier >= level; i-- {
-		o := list[i]
-		if o.class.Tier == level {
-			if lowerGone {
-				out = append(out, p.q.Shed(o.class, o.share(o.allowed, hosts))...)
-			}
-			continue
-		}
-		out = append(out, p.q.Shed(o.class, o.share(o.floor, hosts))...)
-		if o.waiting > max(o.floor, hosts) {
-			lowerGone = false
+	for _, o := range p.outlooks(slots) {
+		settled := l.agreedOn > 0 && l.agreedOn <= o.class.Tier && now.Sub(l.agreed) >= settleTime
+		lowest := o.class.Tier == p.lowestTier()
+		if o.waiting > o.allowed && (settled || lowest) {
+			out = append(out, p.q.Shed(now, o.class, o.share(o.allowed, hosts))...)
 		}
 	}
 	return out
 }
 
+func (p *pool) lowestTier() int {
+	classes := p.q.Classes()
+	return classes[len(classes)-1].Tier
+}
+
 // share returns how many of n requests of the class may wait on this host: in proportion to
 // what waits here, and no less than an equal share.
 func (o outlook) share(n, hosts int) int {
