--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -17,7 +17,7 @@
 	// onTime and late hold items that can and cannot start within their latency target any more.
 	onTime, late Heap[*Item]
 	// Places in the heaps of the class; -1 outside.
-	readyPlace, latePlace, longestPlace int
+	readyPlace, latePlace, longestPlace, usePlace int
 }
 
 // Class is the waiting work of one class in one pool on one host, in fair order.
@@ -40,6 +40,7 @@
 	ready   Heap[*flow]
 	late    Heap[*flow]
 	longest Heap[*flow]
+	most    Heap[*flow]
 	due     Heap[*Item]
 	expiry  Heap[*Item]
 	waiting int
@@ -53,6 +54,7 @@
 		ready:   NewHeap(byUse, func(f *flow, i int) { f.readyPlace = i }),
 		late:    NewHeap(byUse, func(f *flow, i int) { f.latePlace = i }),
 		longest: NewHeap(func(a, b *flow) bool { return a.claim > b.claim }, func(f *flow, i int) { f.longestPlace = i }),
+		most:    NewHeap(func(a, b *flow) bool { return a.used > b.used }, func(f *flow, i int) { f.usePlace = i }),
 		due:     NewHeap(func(a, b *Item) bool { return a.Due.Before(b.Due) }, func(it *Item, i int) { it.duePlace = i }),
 		expiry:  NewHeap(func(a, b *Item) bool { return a.Request.Deadline.Before(b.Request.Deadline) }, func(it *Item, i int) { it.expiryPlace = i }),
 	}
@@ -71,6 +73,7 @@
 		placed := func(it *Item, i int) { it.place = i }
 		f = &flow{name: org, weight: 1, onTime: NewHeap(order, placed), late: NewHeap(order, placed), readyPlace: -1, latePlace: -1, longestPlace: -1}
 		c.flows[org] = f
+		c.most.Push(f)
 	}
 	return f
 }
@@ -105,6 +108,7 @@
 // place keeps f in those heaps of the class in which it has something.
 func (c *Class) place(now time.Time, f *flow) {
 	f.claim = f.used + f.queued/f.weight*c.clock.growth(now)
+	c.most.Fix(f.usePlace)
 	settle(&c.ready, f, f.readyPlace, f.onTime.Len() > 0)
 	settle(&c.late, f, f.latePlace, f.late.Len() > 0)
 	settle(&c.longest, f, f.longestPlace, f.onTime.Len()+f.late.Len() > 0)
@@ -174,10 +178,17 @@
 	c.place(now, f)
 }
 
-// victim returns the item to shed first: late work, then the newest, of the organisation with the most work had and waiting.
-func (c *Class) victim() *Item {
+// entitled is the share of the most that an organisation had, below which others are shed first.
+const entitled = 0.7
+
+// victim returns the item to shed first: late work, then the newest, of the organisation with the most work had and waiting. Unless any is set, it spares organisations that had
+// clearly less than the one that had the most.
+func (c *Class) victim(anyone bool) *Item {
 	for i := range c.longest.Len() {
 		f := c.longest.At(i)
+		if !anyone && f.claim < entitled*c.most.Peek().used {
+			continue
+		}
 		if it := last(&f.late); it != nil {
 			return it
 		}
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -203,6 +203,8 @@
 	Slots int
 	// Level is the highest tier whose lower tiers start by their floors only; 0 is none.
 	Level int
+	// Free is how many more than the running requests it could run.
+	Free int
 	// Room tells whether work of a rank finds a place now; rank 1 is the pool's first tier.
 	Room func(rank int) bool
 }
@@ -219,7 +221,9 @@
 		if c.waiting == 0 {
 			continue
 		}
-		if s.Level > 0 && c.Tier > s.Level || !s.Room(c.Rank) {
+		// Work of a higher tier that waits on another host has the free places first.
+		ahead := q.peersAbove(c.Tier)
+		if s.Level > 0 && c.Tier > s.Level || ahead > 0 && ahead >= s.Free || !s.Room(c.Rank) {
 			return nil, false
 		}
 		return q.firstOfTier(i).head(), false
@@ -227,6 +231,17 @@
 	return nil, false
 }
 
+// peersAbove counts what waits on other hosts in the tiers above one.
+func (q *Queue) peersAbove(tier int) int {
+	n := 0
+	for _, c := range q.order {
+		if c.Tier < tier {
+			n += c.PeerWaiting
+		}
+	}
+	return n
+}
+
 // firstOfTier returns the class with the earliest due head among those that share the tier of the class at place i.
 func (q *Queue) firstOfTier(i int) *Class {
 	best := q.order[i]
@@ -270,10 +285,11 @@
 }
 
 // Shed removes items of a class until at most keep wait that may be shed, and returns them.
-func (q *Queue) Shed(now time.Time, c *Class, keep int) []*Item {
+// Organisations that had less than their share keep theirs up to hard.
+func (q *Queue) Shed(now time.Time, c *Class, keep, hard int) []*Item {
 	var out []*Item
 	for c.Sheddable() > keep {
-		it := c.victim()
+		it := c.victim(c.Sheddable() > hard)
 		if it == nil {
 			break
 		}
@@ -301,6 +317,7 @@
 	for _, c := range q.order {
 		for name, f := range c.flows {
 			if !known(name) && f.longestPlace < 0 {
+				c.most.Remove(f.usePlace)
 				delete(c.flows, name)
 			}
 		}
--- a/internal/traffic/scheduler/choose.go
+++ b/internal/traffic/scheduler/choose.go
@@ -79,7 +79,7 @@
 }
 
 func (s *server) load() float64 {
-	n := float64(s.own+s.others) + s.bias
+	n := float64(s.own+s.others) + envf("BIAS", 4)*s.bias
 	if s.unusable {
 		return n + 1e9
 	}
--- a/internal/traffic/scheduler/pool.go
+++ b/internal/traffic/scheduler/pool.go
@@ -156,6 +156,12 @@
 	return own, all
 }
 
+// free counts the places of the pool that lower tiers may still take.
+func (p *pool) free(slots int) int {
+	_, all := p.running()
+	return int((1-reserveShare)*float64(slots)) - all
+}
+
 // quota returns how many of the pool's places this host may hold: those of all its work in tiers
 // that get all they ask for, and of the next tier a part as large as its part of what is asked.
 // The quotas of all hosts add up to the pool.
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -194,7 +194,7 @@
 	if class == nil {
 		return nil
 	}
-	if items := from.q.Shed(now, class, class.Sheddable()-1); len(items) > 0 {
+	if items := from.q.Shed(now, class, class.Sheddable()-1, 0); len(items) > 0 {
 		return items[0]
 	}
 	return nil
@@ -215,7 +215,7 @@
 	slots := p.slots(pl)
 	for len(aside) < setAside {
 		s := queue.Supply{
-			Slots: slots, Level: pl.level.applied,
+			Slots: slots, Level: pl.level.applied, Free: pl.free(slots),
 			Room: func(rank int) bool { return p.room(now, pl, rank, slots) },
 		}
 		it, floor := pl.q.Next(now, s)
--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -75,6 +75,8 @@
 const (
 	// wantShare is the share of what may wait of a tier at which lower tiers are held back.
 	wantShare = 0.5
+	// hardShare relates what may wait of a tier at most, also of organisations that had less than others, to what can meet its target.
+	hardShare = 3
 	// levelHold is how long a level stays after nobody wants it.
 	levelHold = time.Second
 	// settleTime is how long all hosts have applied a level before work of its tier is shed.
@@ -137,7 +139,7 @@
 		settled := l.agreedOn > 0 && l.agreedOn <= o.class.Tier && now.Sub(l.agreed) >= settleTime
 		lowest := o.class.Tier == p.lowestTier()
 		if o.waiting > o.allowed && (settled || lowest) {
-			out = append(out, p.q.Shed(now, o.class, o.share(o.allowed, hosts))...)
+			out = append(out, p.q.Shed(now, o.class, o.share(o.allowed, hosts), o.share(hardShare*o.allowed, hosts))...)
 		}
 	}
 	return out
