--- /dev/null
+++ b/internal/traffic/scheduler/shed.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"time"
+
+	"shallotramp/internal/traffic/queue"
+)
+
+const (
+	// leastRate is the share of a pool that work is taken to get however much of higher tiers runs.
+	leastRate = 0.05
+	// leastRetry and mostRetry bound the advice when to come again.
+	leastRetry = time.Second
+	mostRetry  = time.Minute
+)
+
+// outlook is what the waiting work of all hosts means for one class.
+type outlook struct {
+	class *queue.Class
+	// waiting counts the sheddable requests of all hosts, and allowed those that can meet their target.
+	waiting, allowed int
+	// floor counts the requests that the class's floor serves within its target.
+	floor int
+	// wait is the expected time until a new request starts.
+	wait time.Duration
+}
+
+// outlooks works out the expected waits in order of tier. Higher tiers delay lower ones and
+// floors take their share from all, so the outlook of a class never depends on lower tiers
+// beyond their floors: it is the same on every host up to the delay of what they tell.
+func (p *pool) outlooks(slots int) []outlook {
+	classes := p.q.Classes()
+	out := make([]outlook, 0, len(classes))
+	rate, backlog := float64(slots), 0.0
+	for _, c := range classes {
+		rate -= p.floorOf(c, slots)
+	}
+	for _, c := range classes {
+		st := p.class(c.Name)
+		service := st.service.or(firstService.Seconds())
+		rate += p.floorOf(c, slots)
+		effective := max(rate, leastRate*float64(slots))
+		o := outlook{class: c, waiting: c.Sheddable() + st.peerSheddable}
+		target := targetShare * max(c.Target.Seconds()/4, c.Target.Seconds()-st.prefill.or(0))
+		o.floor = max(1, int(c.Floor*float64(slots)*target/service))
+		o.allowed = max(o.floor, int((target*effective-backlog)/service))
+		backlog += float64(c.Waiting()+c.PeerWaiting) * service
+		o.wait = time.Duration(backlog / effective * float64(time.Second))
+		rate -= float64(c.Running + c.PeerRunning)
+		out = append(out, o)
+	}
+	return out
+}
+
+// floorOf returns the places that a class with waiting work has by its floor.
+func (p *pool) floorOf(c *queue.Class, slots int) float64 {
+	if c.Waiting()+c.PeerWaiting == 0 {
+		return 0
+	}
+	return c.Floor * float64(slots)
+}
+
+// level is the state of shedding in a pool. Hosts want a level when much of a tier waits, apply
+// the highest that any of them wants, and shed work of a tier only after all of them have applied
+// its level for a while, so that no lower tier is served beyond its floor meanwhile.
+type level struct {
+	wanted, applied int
+	// until is when an applied level ends that nobody wants any more.
+	until time.Time
+	// agreed is since when all hosts apply the level agreedOn or a higher tier.
+	agreed   time.Time
+	agreedOn int
+}
+
+const (
+	// wantShare is the share of what may wait of a tier at which lower tiers are held back.
+	wantShare = 0.5
+	// hardShare relates what may wait of a tier at most, also of organisations that had less than others, to what can meet its target.
+	hardShare = 3
+	// levelHold is how long a level stays after nobody wants it.
+	levelHold = time.Second
+	// settleTime is how long all hosts have applied a level before work of its tier is shed.
+	settleTime = 300 * time.Millisecond
+)
+
+// assess updates the level of the pool.
+func (p *pool) assess(now time.Time, slots int) {
+	l := &p.level
+	l.wanted = 0
+	for _, o := range p.outlooks(slots) {
+		if float64(o.waiting) > wantShare*float64(o.allowed) {
+			l.wanted = o.class.Tier
+			break
+		}
+	}
+	want := l.wanted
+	for _, s := range p.peers {
+		want = higher(want, s.Wanted)
+	}
+	if want != 0 && (l.applied == 0 || want <= l.applied) || !now.Before(l.until) {
+		l.applied, l.until = want, now.Add(levelHold)
+	}
+	p.agree(now)
+}
+
+// higher returns the higher of two tiers, where 0 is none.
+func higher(a, b int) int {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// agree notes since when all hosts apply a level.
+func (p *pool) agree(now time.Time) {
+	l := &p.level
+	on := l.applied
+	for _, s := range p.peers {
+		if s.Applied == 0 || on == 0 {
+			on = 0
+			break
+		}
+		on = max(on, s.Applied)
+	}
+	if on == 0 || l.agreedOn == 0 || on > l.agreedOn {
+		l.agreed = now
+	}
+	l.agreedOn = on
+}
+
+// overload removes the waiting work that must be shed so that the rest meets its targets. Tiers
+// below the applied level keep what their floors serve within their targets. A tier with more
+// waiting than can meet its target is cut to that, once no host serves lower tiers beyond floors.
+func (p *pool) overload(now time.Time, slots int) []*queue.Item {
+	var out []*queue.Item
+	l := &p.level
+	hosts := 1 + len(p.peers)
+	for _, o := range p.outlooks(slots) {
+		settled := l.agreedOn > 0 && l.agreedOn <= o.class.Tier && now.Sub(l.agreed) >= settleTime
+		lowest := o.class.Tier == p.lowestTier()
+		if o.waiting > o.allowed && (settled || lowest) {
+			out = append(out, p.q.Shed(now, o.class, o.share(o.allowed, hosts), o.share(hardShare*o.allowed, hosts))...)
+		}
+	}
+	return out
+}
+
+func (p *pool) lowestTier() int {
+	classes := p.q.Classes()
+	return classes[len(classes)-1].Tier
+}
+
+// share returns how many of n requests of the class may wait on this host: in proportion to
+// what waits here, and no less than an equal share.
+func (o outlook) share(n, hosts int) int {
+	own := 0
+	if o.waiting > 0 {
+		own = n * o.class.Sheddable() / o.waiting
+	}
+	return max(1, own, n/hosts)
+}
+
+// retryAfter returns when a refused request of a class may be admitted: once the backlog has
+// drained to what meets the target. jitter, from 0 to 1, spreads those who come again.
+func (p *pool) retryAfter(class string, slots int, jitter float64) time.Duration {
+	d := leastRetry
+	for _, o := range p.outlooks(slots) {
+		if o.class.Name == class {
+			d = o.wait - time.Duration(targetShare*float64(o.class.Target))
+		}
+	}
+	d = min(mostRetry, max(leastRetry, d))
+	return d + time.Duration(jitter/2*float64(d))
+}
