member: table of hosts by heartbeats

Cause: each host must know who is alive without a coordination service. The table is pure; a list of hosts only seeds it, silence raises suspicion, a new incarnation replaces an old one and a planned stop is not revived by a lagging list. All it says is a hint.

--- /dev/null
+++ b/internal/fleet/member/member_test.go
@@ -0,0 +1,73 @@
+package member
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func host(name string, incarnation uint64) Host {
+	return Host{Name: name, Zone: "mid-a", Address: netip.MustParseAddrPort("10.0.0.1:7300"), Incarnation: incarnation}
+}
+
+func TestTable(t *testing.T) {
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	cases := map[string]struct {
+		do   func(*Table)
+		want State
+		gone bool
+	}{
+		"a list only seeds": {do: func(t *Table) { t.Seed(start, host("a", 1)) }, want: Seeded},
+		"a heartbeat makes alive": {do: func(t *Table) {
+			t.Seed(start, host("a", 1))
+			t.Hear(start, host("a", 1))
+		}, want: Alive},
+		"silence raises suspicion": {do: func(t *Table) {
+			t.Hear(start, host("a", 1))
+			t.Tick(at(SuspectAfter))
+		}, want: Suspect},
+		"a suspect recovers by a heartbeat": {do: func(t *Table) {
+			t.Hear(start, host("a", 1))
+			t.Tick(at(SuspectAfter))
+			t.Beat(at(4*time.Second), "a", Beat{})
+		}, want: Alive},
+		"a late message of an older incarnation has no effect": {do: func(t *Table) {
+			t.Hear(start, host("a", 2))
+			t.Tick(at(SuspectAfter))
+			t.Hear(at(4*time.Second), host("a", 1))
+		}, want: Suspect},
+		"a lagging list does not revive a host that left": {do: func(t *Table) {
+			t.Hear(start, host("a", 1))
+			t.Leave(start, "a")
+			t.Seed(at(time.Second), host("a", 1))
+			t.Beat(at(time.Second), "a", Beat{})
+		}, want: Left},
+		"a host that left comes back by a new incarnation": {do: func(t *Table) {
+			t.Hear(start, host("a", 1))
+			t.Leave(start, "a")
+			t.Hear(at(time.Second), host("a", 2))
+		}, want: Alive},
+		"a suspect is forgotten after the longest grace": {do: func(t *Table) {
+			t.Hear(start, host("a", 1))
+			t.Tick(at(SuspectAfter))
+			t.Tick(at(SuspectAfter + DefaultForgetAfter))
+		}, gone: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			convey.Convey(name, t, func() {
+				tab := NewTable(0)
+				c.do(tab)
+				m, ok := tab.Get("a")
+				convey.So(ok, convey.ShouldEqual, !c.gone)
+				if ok {
+					convey.So(m.State, convey.ShouldEqual, c.want)
+				}
+			})
+		})
+	}
+}
