release: shelf of the newest chunks, shared by follower and peers

Cause: hosts are to pass releases on to each other, so the chunks that a follower read must be at hand for peers, and a relay that takes over must not read again what peers already gave it. Read is exported for a host that reads the platform once.

--- a/internal/catalog/release/follow.go
+++ b/internal/catalog/release/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,19 +27,33 @@
 	holder  *Holder
 	log     zerolog.Logger
 	adopted func(*Snapshot)
-	chunks  map[string][]byte
+	shelf   *Shelf
+	// mu lets one read at a time take a release.
+	mu sync.Mutex
+}
+
+// FollowerOption changes a [Follower].
+type FollowerOption func(*Follower)
+
+// WithShelf keeps the chunks of releases on s, where others may read and add them.
+func WithShelf(s *Shelf) FollowerOption {
+	return func(f *Follower) { f.shelf = s }
 }
 
 // NewFollower returns a Follower that calls adopted after each release put in force.
-func NewFollower(st store.Store, h *Holder, log zerolog.Logger, adopted func(*Snapshot)) *Follower {
-	return &Follower{store: st, holder: h, log: log, adopted: adopted, chunks: map[string][]byte{}}
+func NewFollower(st store.Store, h *Holder, log zerolog.Logger, adopted func(*Snapshot), opts ...FollowerOption) *Follower {
+	f := &Follower{store: st, holder: h, log: log, adopted: adopted, shelf: &Shelf{}}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
 }
 
 // Run follows until ctx ends and then reports on done.
 func (f *Follower) Run(ctx context.Context, done chan<- error) {
 	defer func() { done <- nil }()
 	for ctx.Err() == nil {
-		if err := f.read(ctx); err != nil {
+		if err := f.Read(ctx); err != nil {
 			f.log.Warn().Err(err).Msg("reading the release failed; keeping the one in force")
 			sleep(ctx, retryDelay)
 			continue
@@ -47,8 +62,8 @@
 	}
 }
 
-// read fetches the head once and adopts its release.
-func (f *Follower) read(ctx context.Context) error {
+// Read fetches the head once and adopts its release.
+func (f *Follower) Read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	asked := time.Now()
@@ -68,7 +83,10 @@
 		f.holder.Confirm(head.Number, at)
 		return nil
 	}
-	content, err := ReadChunks(ctx, f.store, head.Chunks, f.chunks)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, have := f.shelf.Newest()
+	content, err := ReadChunks(ctx, f.store, head.Chunks, have)
 	if err != nil {
 		return err
 	}
@@ -76,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	f.chunks = content
+	f.shelf.Put(head.Entry, content)
 	s := NewSnapshot(head.Number, head.Digest, set)
 	if f.holder.Adopt(s) {
 		f.log.Info().Uint64("Release", s.Number).Str("Digest", s.Digest).Msg("release adopted")
@@ -109,7 +127,7 @@
 				return
 			}
 		case <-t.C:
-			if err := f.read(ctx); err != nil {
+			if err := f.Read(ctx); err != nil {
 				f.log.Warn().Err(err).Msg("reading the release failed; keeping the one in force")
 			}
 		case <-ctx.Done():
@@ -130,7 +148,7 @@
 	if err := f.take(ctx, head, time.Time{}); err != nil {
 		return err
 	}
-	return f.read(ctx)
+	return f.Read(ctx)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
