--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -19,8 +20,8 @@
 	"shallotramp/internal/entry/gateway"
 	"shallotramp/internal/ops/explain"
 	"shallotramp/internal/platform/store"
-	"shallotramp/internal/traffic/baseline"
 	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/scheduler"
 	"shallotramp/internal/usage/meter"
 )
 
@@ -62,7 +63,7 @@
 		cfg: cfg, log: log, store: st, holder: &release.Holder{},
 		meter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(),
 	}
-	h.loop = dispatch.NewLoop(baseline.New())
+	h.loop = dispatch.NewLoop(scheduler.New(rand.Uint64()))
 	h.gateway = gateway.New(cfg.Zone, h.holder, h.loop, gateway.WithLog(log), gateway.WithMetrics(h.metrics),
 		gateway.WithBook(h.book), gateway.WithCounter(h.meter), gateway.WithLimits(cfg.Limits))
 	var err error
