--- a/internal/catalog/object/read.go
+++ b/internal/catalog/object/read.go
@@ -69,13 +69,15 @@
 			errs = append(errs, &ReadError{File: file, Document: n, Cause: err.Error()})
 			continue
 		}
-		if err := s.addJSON(file, n, text); err != nil {
+		if err := s.AddJSON(file, n, text); err != nil {
 			errs = append(errs, err)
 		}
 	}
 }
 
-func (s *Set) addJSON(file string, n int, text []byte) error {
+// AddJSON adds one object, document n of a file, to s. It returns a [ReadError] and adds nothing when
+// the object cannot be read or its name is taken.
+func (s *Set) AddJSON(file string, n int, text []byte) error {
 	var h header
 	if err := json.Unmarshal(text, &h); err != nil {
 		return &ReadError{File: file, Document: n, Cause: err.Error()}
@@ -86,8 +88,11 @@
 	if h.Name == "" {
 		return fail("Name is missing")
 	}
+	text, err := withoutKind(text, h.Kind)
+	if err != nil {
+		return fail(err.Error())
+	}
 	var dup bool
-	var err error
 	switch kindOf(h.Kind) {
 	case Organisation:
 		dup, err = add(s.Organisations, h.Name, text)
@@ -117,7 +122,7 @@
 
 func add[T any](m map[string]*T, name string, text []byte) (dup bool, err error) {
 	v := new(T)
-	dec := json.NewDecoder(bytes.NewReader(withoutKind(text)))
+	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
 		return false, err
@@ -129,17 +134,18 @@
 	return false, nil
 }
 
-func withoutKind(text []byte) []byte {
+// withoutKind returns the object text without its member Kind, which no spec has.
+func withoutKind(text []byte, kind string) ([]byte, error) {
+	// [Document.MarshalJSON] writes the kind first.
+	if rest, ok := bytes.CutPrefix(text, fmt.Appendf(nil, "{%q:%q,", "Kind", kind)); ok {
+		return append([]byte("{"), rest...), nil
+	}
 	var fields map[string]json.RawMessage
-	if json.Unmarshal(text, &fields) != nil {
-		return text
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return nil, err
 	}
 	delete(fields, "Kind")
-	b, err := json.Marshal(fields)
-	if err != nil {
-		return text
-	}
-	return b
+	return json.Marshal(fields)
 }
 
 func kindOf(s string) Kind {
--- a/internal/catalog/release/release.go
+++ b/internal/catalog/release/release.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"shallotramp/internal/catalog/object"
@@ -30,8 +31,13 @@
 )
 
 const (
-	// chunkBytes is the size at which a chunk is closed: JSON in JSON grows, and values are at most 1 MiB.
-	chunkBytes = 256 << 10
+	// A chunk is closed after a document whose name says so, once it has minChunkBytes, and in any
+	// case at maxChunkBytes. So a change leaves the chunks of other documents as they were, which
+	// hosts then need not fetch again.
+	minChunkBytes = 16 << 10
+	maxChunkBytes = 256 << 10
+	// closingNames is one in how many names closes a chunk.
+	closingNames = 128
 	// historyLength is how many earlier releases the head lists.
 	historyLength = 50
 )
@@ -92,7 +98,7 @@
 		}
 		buf.WriteByte(sep)
 		buf.Write(b)
-		if buf.Len() >= chunkBytes {
+		if buf.Len() >= maxChunkBytes || buf.Len() >= minChunkBytes && closes(d) {
 			flush()
 		}
 	}
@@ -100,6 +106,11 @@
 	return refs, content, nil
 }
 
+// closes reports whether a chunk may end after d.
+func closes(d object.Document) bool {
+	return xxhash.Sum64String(d.Kind.String()+"/"+d.Name)%closingNames == 0
+}
+
 // CorruptError is a chunk whose content does not match its digest.
 type CorruptError struct{ Digest string }
 
@@ -120,9 +131,9 @@
 		if err := json.Unmarshal(b, &docs); err != nil {
 			return nil, err
 		}
-		for _, d := range docs {
-			if errs := object.Read(s, "chunk "+ref.Digest, bytes.NewReader(d)); len(errs) > 0 {
-				return nil, errs[0]
+		for n, d := range docs {
+			if err := s.AddJSON("chunk "+ref.Digest, n+1, d); err != nil {
+				return nil, err
 			}
 		}
 	}
