balance: choice of backend server

Cause: round robin over a pool knows neither load, speed, caches nor life. Power of d choices from lists of servers with room by target, zone and reclaimability; load reports corrected by own work started and ended since their time; speed learned from token rates; prefix cache as a hint with gaps found by sequence and mended by a late event or a whole view; slow start; ejection of at most 30% of a pool; hosts of a zone draw shares of the free room. Ruled out: a heap by load per pool (the cost differs by request: prefix, class, excluded servers); scans.

--- /dev/null
+++ b/internal/traffic/balance/balance.go
@@ -0,0 +1,364 @@
+// Package balance chooses the backend server for a request: by load reports
+// corrected by what was sent since, learned speed, prefix caches, zone, price
+// and health, at a cost that hardly grows with the number of servers.
+package balance
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/request"
+)
+
+const (
+	// peerLife is how long a host counts that does not report.
+	peerLife = 10 * time.Second
+	// idlePeerWeight is the share of a server kept for a host without work, against 1 for one with work.
+	idlePeerWeight = 0.25
+	// wakesPerCall bounds the servers whose time-bound state one call looks at again.
+	wakesPerCall = 16
+	// maxHeard bounds one measured time between a host's reports.
+	maxHeard = 2 * time.Second
+)
+
+// Balancer chooses servers. It is used by one goroutine.
+type Balancer struct {
+	zone     string
+	rng      *rand.Rand
+	distance func(zone string) time.Duration
+	snap     *release.Snapshot
+	pools    map[string]*pool
+	servers  map[string]*server
+	runs     map[request.ID]*run
+	peers    map[string]*peer
+	// contenders is the weight of the other hosts by zone.
+	contenders map[string]float64
+	// heard is the mean time between two reports of a host, in seconds.
+	heard     mean
+	peersSeen time.Time
+	wakes     wakeHeap
+	cache     *prefixCache
+	exclude   exclusion
+}
+
+// pool is a group of servers that serve the same work.
+type pool struct {
+	concurrency int
+	servers     []*server
+	targets     map[target]*targetList
+	// usable, ejected and open count servers; open is by whether they are reclaimable.
+	usable, ejected int
+	open            [2]int
+	// rate sums the learned token rates of rated servers.
+	rate     float64
+	rated    int
+	price    float64
+	service  mean
+	prefill  mean
+	tokenOut mean
+}
+
+// run is an attempt of this host that is under way.
+type run struct {
+	server   *server
+	started  time.Time
+	progress time.Time
+	stream   bool
+	arrived  time.Time
+	prefix   []uint64
+	cached   int
+}
+
+// peer is what another host last told.
+type peer struct {
+	// at is by the other host's clock, heard by this one's.
+	at, heard   time.Time
+	zone        string
+	weight      float64
+	outstanding map[string]int
+}
+
+// Option changes a [Balancer].
+type Option func(*Balancer)
+
+// WithDistance sets what it costs to send a request to another zone; the default is [DefaultDistance].
+func WithDistance(f func(zone string) time.Duration) Option {
+	return func(b *Balancer) { b.distance = f }
+}
+
+// DefaultDistance is the cost of another zone: a few round trips, and a link more that can fail.
+const DefaultDistance = 50 * time.Millisecond
+
+// New returns a Balancer for a host in zone that draws from seed.
+func New(zone string, seed uint64, opts ...Option) *Balancer {
+	b := &Balancer{
+		zone:       zone,
+		rng:        rand.New(rand.NewPCG(seed, 0x62616c616e6365)),
+		distance:   func(string) time.Duration { return DefaultDistance },
+		pools:      map[string]*pool{},
+		servers:    map[string]*server{},
+		runs:       map[request.ID]*run{},
+		peers:      map[string]*peer{},
+		contenders: map[string]float64{},
+		cache:      newPrefixCache(),
+	}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
+}
+
+// Configure adopts a release. What is known of servers that stay is kept; new ones start slowly,
+// except in the first release of a host.
+func (b *Balancer) Configure(now time.Time, s *release.Snapshot) {
+	first := b.snap == nil
+	b.snap = s
+	old, oldPools := b.servers, b.pools
+	b.servers = make(map[string]*server, len(s.Set.BackendServers))
+	b.pools = make(map[string]*pool, len(s.Set.Pools))
+	b.wakes = b.wakes[:0]
+	names := slices.Sorted(maps.Keys(s.Set.Pools))
+	for _, name := range names {
+		p := newPool(s, name)
+		if o, ok := oldPools[name]; ok {
+			p.service, p.prefill, p.tokenOut = o.service, o.prefill, o.tokenOut
+		}
+		b.pools[name] = p
+		for _, bs := range s.Servers(name) {
+			v, ok := old[bs.Name]
+			if !ok {
+				v = &server{}
+				if !first {
+					v.slowSince = now
+				}
+			}
+			v.adopt(bs, p)
+			b.servers[bs.Name] = v
+			p.servers = append(p.servers, v)
+		}
+		p.sum()
+	}
+	for name, v := range old {
+		v.removed = b.servers[name] != v
+	}
+	for _, name := range names {
+		for _, v := range b.pools[name].servers {
+			v.index(v.pool)
+			b.update(now, v)
+		}
+	}
+}
+
+// newPool returns a pool with a list for each target of its routes.
+func newPool(s *release.Snapshot, name string) *pool {
+	p := &pool{concurrency: max(1, s.Set.Pools[name].Concurrency), targets: map[target]*targetList{}}
+	for _, r := range s.Set.Routes {
+		if r.Pool == name {
+			p.targets[targetOf(r.Model, r.Adapter, r.Version)] = &targetList{}
+		}
+	}
+	return p
+}
+
+// sum refreshes what a pool knows of its servers together.
+func (p *pool) sum() {
+	for _, v := range p.servers {
+		p.price += v.spec.Price / float64(len(p.servers))
+		if v.rate > 0 {
+			p.rate += v.rate
+			p.rated++
+		}
+		if v.usable {
+			p.usable++
+		}
+		if v.ejected {
+			p.ejected++
+		}
+	}
+}
+
+// Started notes that an attempt of r was sent to server.
+func (b *Balancer) Started(now time.Time, r *request.Request, server string) {
+	v, ok := b.servers[server]
+	if !ok {
+		return
+	}
+	if old, ok := b.runs[r.ID]; ok {
+		b.leave(now, old)
+	}
+	n := &run{server: v, started: now, progress: now, stream: r.Streaming, arrived: r.Arrived, prefix: r.Prefix}
+	n.cached = b.cache.match(v, r.Prefix)
+	b.runs[r.ID] = n
+	v.enter(now, n.stream)
+	b.cache.note(v, r.Prefix)
+	b.update(now, v)
+}
+
+// Progress notes generated tokens of a running request.
+func (b *Balancer) Progress(now time.Time, id request.ID, tokens int) {
+	n, ok := b.runs[id]
+	if !ok {
+		return
+	}
+	if n.progress.After(n.started) {
+		b.learn(now, n.server, tokens, now.Sub(n.progress))
+	}
+	n.progress = now
+	n.server.progress = now
+}
+
+// Finished notes the end of an attempt.
+func (b *Balancer) Finished(now time.Time, r *request.Request, res request.Result) {
+	n, ok := b.runs[r.ID]
+	if !ok {
+		return
+	}
+	delete(b.runs, r.ID)
+	b.leave(now, n)
+	b.measure(now, n, res)
+	b.judge(now, n.server, res.Outcome)
+	b.cache.correct(n.server, n.prefix, n.cached, res)
+	b.update(now, n.server)
+}
+
+// leave takes an attempt off its server.
+func (b *Balancer) leave(now time.Time, n *run) {
+	n.server.leave(now, n.stream)
+	b.update(now, n.server)
+}
+
+// Report notes what a server tells of itself. A report that is older than the last one is ignored.
+func (b *Balancer) Report(now time.Time, l dispatch.Load) {
+	v, ok := b.servers[l.Server]
+	if !ok || l.At.Before(v.reportAt) {
+		return
+	}
+	v.report(l)
+	v.cache.report(now, l.CacheSequence)
+	if v.load(l.Loaded) {
+		v.unlist()
+		v.index(v.pool)
+	}
+	b.update(now, v)
+}
+
+// Server notes a change in a server's life.
+func (b *Balancer) Server(now time.Time, s dispatch.ServerState) {
+	v, ok := b.servers[s.Server]
+	if !ok {
+		return
+	}
+	v.leaving = s.Leaving
+	if s.Gone && !v.gone {
+		v.cache.void()
+		v.goneAt = now
+	}
+	if v.gone && !s.Gone {
+		v.slowSince = now
+	}
+	v.gone = s.Gone
+	b.update(now, v)
+}
+
+// Peer notes what another host reports of its outstanding work.
+func (b *Balancer) Peer(now time.Time, h dispatch.HostState) {
+	p, ok := b.peers[h.Host]
+	if !ok {
+		p = &peer{}
+		b.peers[h.Host] = p
+	}
+	if ok && h.At.Before(p.at) {
+		return
+	}
+	if ok {
+		b.heard.add(min(maxHeard, now.Sub(p.heard)).Seconds())
+	}
+	b.contenders[p.zone] -= p.weight
+	old := p.outstanding
+	p.at, p.heard, p.zone, p.weight, p.outstanding = h.At, now, h.Zone, weightOf(h), h.Outstanding
+	b.contenders[p.zone] += p.weight
+	b.shift(now, old, h.Outstanding)
+}
+
+// weightOf tells how much of the servers' room a host may want before it is heard again.
+func weightOf(h dispatch.HostState) float64 {
+	for _, n := range h.Waiting {
+		if n > 0 {
+			return 1
+		}
+	}
+	for _, n := range h.Running {
+		if n > 0 {
+			return 1
+		}
+	}
+	return idlePeerWeight
+}
+
+// shift replaces one host's outstanding work by server.
+func (b *Balancer) shift(now time.Time, from, to map[string]int) {
+	var names []string
+	for name, n := range to {
+		if from[name] != n {
+			names = append(names, name)
+		}
+	}
+	for name := range from {
+		if _, ok := to[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	// The order of the map must not decide the order of the lists that are drawn from.
+	sort.Strings(names)
+	for _, name := range names {
+		if v, ok := b.servers[name]; ok {
+			v.others = max(0, v.others+to[name]-from[name])
+			b.update(now, v)
+		}
+	}
+}
+
+// expirePeers forgets hosts that were not heard for long.
+func (b *Balancer) expirePeers(now time.Time) {
+	if now.Sub(b.peersSeen) < time.Second {
+		return
+	}
+	b.peersSeen = now
+	var gone []string
+	for name, p := range b.peers {
+		if now.Sub(p.heard) > peerLife {
+			gone = append(gone, name)
+		}
+	}
+	sort.Strings(gone)
+	for _, name := range gone {
+		p := b.peers[name]
+		delete(b.peers, name)
+		b.contenders[p.zone] = max(0, b.contenders[p.zone]-p.weight)
+		b.shift(now, p.outstanding, nil)
+	}
+}
+
+// Outstanding returns this host's attempts under way by server.
+func (b *Balancer) Outstanding() map[string]int {
+	out := map[string]int{}
+	for name, v := range b.servers {
+		if v.own > 0 {
+			out[name] = v.own
+		}
+	}
+	return out
+}
+
+// Usable returns how many servers of a pool take work, whether or not they have room.
+func (b *Balancer) Usable(pool string) int {
+	if p, ok := b.pools[pool]; ok {
+		return p.usable
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/traffic/balance/balance_test.go
@@ -0,0 +1,403 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/request"
+)
+
+var start = time.Date(2026, 12, 4, 15, 0, 0, 0, time.UTC)
+
+// newSet returns a set with n servers in the pool "models", in turn in the zones. Each fourth is reclaimable.
+func newSet(n, concurrency int, zones ...string) *object.Set {
+	s := object.NewSet()
+	s.Pools["models"] = &object.PoolSpec{Name: "models", Protocol: object.Engine, Concurrency: concurrency}
+	s.Classes["chat"] = &object.ClassSpec{Name: "chat", Tier: 1}
+	s.Classes["batch"] = &object.ClassSpec{Name: "batch", Tier: 2, Reclaimable: true}
+	s.Routes["briefs"] = &object.RouteSpec{Name: "briefs", Model: "m", Pool: "models"}
+	for i := range n {
+		name := fmt.Sprintf("s%04d", i)
+		s.BackendServers[name] = &object.BackendServerSpec{
+			Name: name, Pool: "models", Zone: zones[i%len(zones)], Reclaimable: i%4 == 3, Price: 1,
+		}
+	}
+	return s
+}
+
+func newBalancer(seed uint64, s *object.Set) *Balancer {
+	b := New("a", seed)
+	b.Configure(start, release.NewSnapshot(1, "", s))
+	return b
+}
+
+func newRequest(id int, class string) *request.Request {
+	return &request.Request{
+		ID: request.ID(fmt.Sprint(id)), Class: class, Pool: "models", Model: "m",
+		Streaming: true, PromptTokens: 500, Arrived: start,
+	}
+}
+
+// send chooses and starts n requests from the id on, and returns how many each server got.
+func send(b *Balancer, now time.Time, class string, id, n int) map[string]int {
+	out := map[string]int{}
+	for i := range n {
+		r := newRequest(id+i, class)
+		if s, _, ok := b.Choose(now, r, nil); ok {
+			b.Started(now, r, s)
+			out[s]++
+		}
+	}
+	return out
+}
+
+func finish(b *Balancer, now time.Time, id int, server string, o request.Outcome) {
+	r := newRequest(id, "chat")
+	b.Started(now, r, server)
+	b.Finished(now, r, request.Result{ID: r.ID, Server: server, Outcome: o})
+}
+
+func TestChoice(t *testing.T) {
+	convey.Convey("Given eight servers of four places in two zones", t, func() {
+		b := newBalancer(1, newSet(8, 4, "a", "b"))
+		convey.Convey("a class that may not use reclaimable servers fills the others and no more", func() {
+			got := send(b, start, "chat", 0, 100)
+			convey.So(got, convey.ShouldHaveLength, 6)
+			for _, n := range got {
+				convey.So(n, convey.ShouldEqual, 4)
+			}
+			convey.So(b.Room(start, "models", 1), convey.ShouldBeFalse)
+			convey.So(b.Room(start, "models", 2), convey.ShouldBeTrue)
+			convey.So(send(b, start, "batch", 100, 100), convey.ShouldHaveLength, 2)
+			convey.So(b.Room(start, "models", 2), convey.ShouldBeFalse)
+		})
+		convey.Convey("the host's zone comes first", func() {
+			for s := range send(b, start, "chat", 0, 8) {
+				convey.So(b.servers[s].spec.Zone, convey.ShouldEqual, "a")
+			}
+		})
+		convey.Convey("work of a report is added to what was sent since, and what ended since is taken off", func() {
+			r := newRequest(1, "chat")
+			b.Started(start, r, "s0000")
+			b.Report(start.Add(5*time.Second), dispatch.Load{Server: "s0000", At: start.Add(time.Second), Running: 3})
+			convey.So(b.servers["s0000"].outstanding(start.Add(5*time.Second)), convey.ShouldEqual, 3)
+			b.Finished(start.Add(6*time.Second), r, request.Result{ID: r.ID, Server: "s0000", Outcome: request.Completed})
+			b.Report(start.Add(7*time.Second), dispatch.Load{Server: "s0000", At: start.Add(2 * time.Second), Running: 3})
+			convey.So(b.servers["s0000"].outstanding(start.Add(7*time.Second)), convey.ShouldEqual, 2)
+			b.Started(start.Add(8*time.Second), newRequest(2, "chat"), "s0000")
+			b.Report(start.Add(9*time.Second), dispatch.Load{Server: "s0000", At: start.Add(7 * time.Second), Running: 2})
+			convey.So(b.servers["s0000"].outstanding(start.Add(9*time.Second)), convey.ShouldEqual, 3)
+			convey.So(b.servers["s0000"].outstanding(start.Add(time.Minute)), convey.ShouldEqual, 1)
+		})
+		convey.Convey("a leaving server gets nothing, whoever says so, until the same one takes it back", func() {
+			b.Server(start, dispatch.ServerState{Server: "s0000", Leaving: true})
+			b.Report(start, dispatch.Load{Server: "s0002", At: start, Leaving: true})
+			b.Report(start.Add(time.Second), dispatch.Load{Server: "s0000", At: start.Add(time.Second)})
+			got := send(b, start.Add(time.Second), "chat", 0, 100)
+			convey.So(got["s0000"]+got["s0002"], convey.ShouldEqual, 0)
+			convey.So(b.Usable("models"), convey.ShouldEqual, 6)
+			b.Server(start.Add(2*time.Second), dispatch.ServerState{Server: "s0000"})
+			convey.So(b.Usable("models"), convey.ShouldEqual, 7)
+		})
+		convey.Convey("a server that is gone returns with a later report and is then filled slowly", func() {
+			b.Server(start, dispatch.ServerState{Server: "s0000", Gone: true})
+			b.Report(start, dispatch.Load{Server: "s0000", At: start.Add(-time.Second)})
+			convey.So(b.Usable("models"), convey.ShouldEqual, 7)
+			b.Report(start.Add(time.Second), dispatch.Load{Server: "s0000", At: start.Add(time.Second)})
+			convey.So(send(b, start.Add(time.Second), "chat", 0, 100)["s0000"], convey.ShouldEqual, 1)
+			later := start.Add(time.Second + slowStart)
+			convey.So(send(b, later, "chat", 200, 100)["s0000"], convey.ShouldEqual, 3)
+		})
+		convey.Convey("a retry avoids the server and prefers another zone", func() {
+			s, why, ok := b.Choose(start, newRequest(1, "chat"), []string{"s0000"})
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(b.servers[s].spec.Zone, convey.ShouldEqual, "b")
+			convey.So(why, convey.ShouldEqual, whyRemote)
+		})
+		convey.Convey("failing servers are ejected up to the bound, and tried again later", func() {
+			for i := range 8 {
+				for range 3 {
+					finish(b, start, i, fmt.Sprintf("s%04d", i), request.Broken)
+				}
+			}
+			convey.So(b.Usable("models"), convey.ShouldEqual, 6)
+			later := start.Add(ejectTime + time.Millisecond)
+			convey.So(send(b, later, "batch", 100, 100)["s0000"], convey.ShouldEqual, 1)
+			finish(b, later, 1, "s0000", request.Completed)
+			convey.So(b.pools["models"].ejected, convey.ShouldEqual, 1)
+		})
+		convey.Convey("a new release keeps what is known, and new servers start slowly", func() {
+			send(b, start, "chat", 0, 4)
+			set := newSet(9, 4, "a", "b")
+			delete(set.BackendServers, "s0001")
+			b.Configure(start, release.NewSnapshot(2, "", set))
+			convey.So(b.Usable("models"), convey.ShouldEqual, 8)
+			sum := 0
+			for _, n := range b.Outstanding() {
+				sum += n
+			}
+			convey.So(sum, convey.ShouldEqual, 4)
+			convey.So(send(b, start, "chat", 100, 100)["s0008"], convey.ShouldEqual, 1)
+		})
+	})
+}
+
+func TestLoadedModels(t *testing.T) {
+	tests := map[string]struct {
+		loaded                  []string
+		model, adapter, version string
+		want                    bool
+	}{
+		"a server that tells nothing is taken to have all":    {nil, "m", "x", "", true},
+		"a base model serves requests without an adapter":     {[]string{"m"}, "m", "", "", true},
+		"a base model does not serve an adapter":              {[]string{"m"}, "m", "x", "", false},
+		"a loaded adapter serves":                             {[]string{"m", "m+x"}, "m", "x", "", true},
+		"another version does not serve":                      {[]string{"m", "m@1"}, "m", "", "2", false},
+		"the version serves":                                  {[]string{"m@2"}, "m", "", "2", true},
+		"another model does not serve":                        {[]string{"n"}, "m", "", "", false},
+		"both adapter and version are needed when both asked": {[]string{"m", "m+x"}, "m", "x", "2", false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBalancer(1, newSet(1, 4, "a"))
+			b.Report(start, dispatch.Load{Server: "s0000", At: start, Loaded: tc.loaded})
+			r := newRequest(1, "chat")
+			r.Model, r.Adapter, r.Version = tc.model, tc.adapter, tc.version
+			if _, _, ok := b.Choose(start, r, nil); ok != tc.want {
+				t.Errorf("chosen: %v", ok)
+			}
+		})
+	}
+}
+
+func TestSlowServerIsLearnedAndForgiven(t *testing.T) {
+	b := newBalancer(1, newSet(4, 8, "a"))
+	now := start
+	for i := range 40 {
+		for k := range 4 {
+			r := newRequest(i*4+k, "batch")
+			s := fmt.Sprintf("s%04d", k)
+			b.Started(now, r, s)
+			d := time.Second
+			if k == 0 {
+				d *= 5
+			}
+			b.Finished(now.Add(d), r, request.Result{ID: r.ID, Server: s, Outcome: request.Completed, OutputTokens: 50, FirstToken: time.Millisecond})
+		}
+		now = now.Add(time.Second)
+	}
+	if s := b.servers["s0000"].speed; s > 0.35 {
+		t.Fatalf("speed %v", s)
+	}
+	got := send(b, now, "batch", 1000, 100)
+	if got["s0000"] > 3 || got["s0001"] != 8 {
+		t.Errorf("the slow server got %d of %v", got["s0000"], got)
+	}
+	for i := range 100 {
+		b.Finished(now, newRequest(1000+i, "batch"), request.Result{Outcome: request.Cancelled})
+	}
+	now = now.Add(5 * time.Second)
+	for range 8 {
+		now = now.Add(relaxAfter)
+		b.update(now, b.servers["s0000"])
+	}
+	if s := b.servers["s0000"].speed; s < fullSpeed {
+		t.Errorf("speed %v a while after the last measurement", s)
+	}
+}
+
+func TestStalledServerGetsLess(t *testing.T) {
+	b := newBalancer(1, newSet(4, 8, "a"))
+	for k := range 4 {
+		r := newRequest(k, "batch")
+		s := fmt.Sprintf("s%04d", k)
+		b.Started(start, r, s)
+		for i := range 5 {
+			if k > 0 || i < 2 {
+				b.Progress(start.Add(time.Duration(i+1)*time.Second), r.ID, 16)
+			}
+		}
+	}
+	now := start.Add(12 * time.Second)
+	b.update(now, b.servers["s0000"])
+	if s := b.servers["s0000"].speed; s > 0.5 {
+		t.Errorf("speed %v of a server without progress for 10 s", s)
+	}
+}
+
+func TestPrefixAffinity(t *testing.T) {
+	convey.Convey("Given a prompt that ran on one of many servers", t, func() {
+		b := newBalancer(1, newSet(40, 4, "a"))
+		r := newRequest(1, "chat")
+		r.Prefix, r.PromptTokens = []uint64{1, 2, 3, 4}, 1100
+		b.Started(start, r, "s0004")
+		b.Finished(start.Add(2*time.Second), r, request.Result{ID: r.ID, Server: "s0004", Outcome: request.Completed})
+		next := newRequest(2, "chat")
+		next.Prefix, next.PromptTokens = []uint64{1, 2, 3, 9}, 1100
+		choose := func() string {
+			s, _, _ := b.Choose(start, next, nil)
+			return s
+		}
+		convey.Convey("one that shares its beginning follows it", func() {
+			s, why, _ := b.Choose(start, next, nil)
+			convey.So(s, convey.ShouldEqual, "s0004")
+			convey.So(why, convey.ShouldEqual, whyCached)
+		})
+		convey.Convey("but not to a server with much to do", func() {
+			at := start.Add(2 * time.Second)
+			b.Report(at, dispatch.Load{Server: "s0004", At: at, Running: 3})
+			convey.So(choose(), convey.ShouldNotEqual, "s0004")
+		})
+		convey.Convey("nor after the server told that it dropped the blocks", func() {
+			b.Cache(start, CacheEvent{Server: "s0004", Sequence: 1, Evicted: []uint64{1, 2, 3, 4}})
+			convey.So(b.cache.match(b.servers["s0004"], next.Prefix), convey.ShouldEqual, 0)
+		})
+		convey.Convey("nor after the server began anew", func() {
+			b.Report(start, dispatch.Load{Server: "s0004", At: start, CacheSequence: 50})
+			b.Report(start, dispatch.Load{Server: "s0004", At: start.Add(time.Second), CacheSequence: 2})
+			convey.So(b.cache.match(b.servers["s0004"], next.Prefix), convey.ShouldEqual, 0)
+		})
+	})
+}
+
+func TestCacheGaps(t *testing.T) {
+	convey.Convey("Given a server's cache events with one missing", t, func() {
+		b := newBalancer(1, newSet(2, 4, "a"))
+		v := b.servers["s0000"]
+		b.Cache(start, CacheEvent{Server: "s0000", Sequence: 1, Stored: []uint64{1}})
+		b.Cache(start, CacheEvent{Server: "s0000", Sequence: 3, Stored: []uint64{3}})
+		convey.So(v.cache.partial, convey.ShouldBeTrue)
+		convey.So(v.cache.trust(), convey.ShouldEqual, partialTrust)
+		convey.Convey("it is asked for as a whole after a while", func() {
+			convey.So(b.Partial(start), convey.ShouldBeEmpty)
+			convey.So(b.Partial(start.Add(lateEvents)), convey.ShouldResemble, []string{"s0000"})
+			b.Cache(start, CacheEvent{Server: "s0000", Sequence: 4, Stored: []uint64{7}, Whole: true})
+			convey.So(v.cache.partial, convey.ShouldBeFalse)
+			convey.So(b.cache.match(v, []uint64{1}), convey.ShouldEqual, 0)
+			convey.So(b.cache.match(v, []uint64{7}), convey.ShouldEqual, 1)
+		})
+		convey.Convey("a late event mends it", func() {
+			b.Cache(start, CacheEvent{Server: "s0000", Sequence: 2, Stored: []uint64{2}})
+			convey.So(v.cache.partial, convey.ShouldBeFalse)
+			convey.So(b.cache.match(v, []uint64{2}), convey.ShouldEqual, 1)
+		})
+		convey.Convey("an event seen before changes nothing", func() {
+			b.Cache(start, CacheEvent{Server: "s0000", Sequence: 3, Evicted: []uint64{3}})
+			convey.So(b.cache.match(v, []uint64{3}), convey.ShouldEqual, 1)
+		})
+		convey.Convey("a load report ahead of the events shows a gap at their end", func() {
+			b.Cache(start, CacheEvent{Server: "s0000", Sequence: 2})
+			for i := range 2 {
+				at := start.Add(time.Duration(i) * time.Second)
+				b.Report(at, dispatch.Load{Server: "s0000", At: at, CacheSequence: uint64(9 + i)})
+			}
+			convey.So(v.cache.partial, convey.ShouldBeTrue)
+		})
+	})
+}
+
+func TestSameSeedSameChoices(t *testing.T) {
+	run := func() string {
+		out := ""
+		b, now := newBalancer(7, newSet(60, 4, "a", "b")), start
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			r := newRequest(i, "batch")
+			s, _, _ := b.Choose(now, r, nil)
+			out += s
+			b.Started(now, r, s)
+			if i > 100 {
+				b.Finished(now, newRequest(i-100, "batch"), request.Result{Outcome: request.Completed, OutputTokens: 20})
+			}
+			if i%20 == 0 {
+				b.Peer(now, dispatch.HostState{Host: fmt.Sprint(rng.IntN(5)), Zone: "a", At: now, Outstanding: map[string]int{
+					"s0001": rng.IntN(4), "s0002": rng.IntN(4), "s0003": rng.IntN(4), "s0005": rng.IntN(4),
+				}})
+			}
+		}
+		return out
+	}
+	first, second := run(), run()
+	if first != second {
+		t.Error("two runs with one seed differ")
+	}
+}
+
+// TestListsAgreeWithServers applies random events and compares the lists with a scan.
+func TestListsAgreeWithServers(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		b, now := newBalancer(seed, newSet(20, 3, "a", "b")), start
+		for i := range 400 {
+			now = now.Add(time.Duration(rng.IntN(400)) * time.Millisecond)
+			randomEvent(b, rng, now, i)
+			checkLists(t, b, seed, i)
+		}
+	}
+}
+
+func randomEvent(b *Balancer, rng *rand.Rand, now time.Time, i int) {
+	name := fmt.Sprintf("s%04d", rng.IntN(20))
+	switch rng.IntN(9) {
+	case 0:
+		b.Report(now, dispatch.Load{Server: name, At: now.Add(-time.Second), Running: rng.IntN(4), Loaded: []string{"m", "n"}[rng.IntN(2):], Leaving: rng.IntN(9) == 0})
+	case 1:
+		b.Server(now, dispatch.ServerState{Server: name, Leaving: rng.IntN(4) == 0, Gone: rng.IntN(4) == 0})
+	case 2:
+		b.Peer(now, dispatch.HostState{Host: fmt.Sprint(rng.IntN(3)), Zone: "a", At: now, Outstanding: map[string]int{name: rng.IntN(3)}})
+	case 3:
+		b.Configure(now, release.NewSnapshot(uint64(i), "", newSet(15+rng.IntN(6), 3, "a", "b")))
+	case 4, 5:
+		r := newRequest(rng.IntN(i+1), "batch")
+		o := []request.Outcome{request.Completed, request.Broken, request.Unreachable}[rng.IntN(3)]
+		b.Finished(now, r, request.Result{ID: r.ID, Outcome: o, OutputTokens: 10})
+	default:
+		r := newRequest(i, "batch")
+		if s, _, ok := b.Choose(now, r, nil); ok {
+			b.Started(now, r, s)
+		}
+	}
+}
+
+func checkLists(t *testing.T, b *Balancer, seed uint64, step int) {
+	t.Helper()
+	p := b.pools["models"]
+	usable, ejected, open, own := 0, 0, 0, 0
+	for _, v := range p.servers {
+		own += v.own
+		if v.usable {
+			usable++
+		}
+		if v.ejected {
+			ejected++
+		}
+		if v.listed {
+			open++
+		}
+		if v.listed && !v.usable {
+			t.Fatalf("seed %d step %d: %s has room and is not usable", seed, step, v.spec.Name)
+		}
+		for _, s := range v.slots {
+			if (s.pos >= 0) != v.listed || v.listed && s.list.open[v.remote][v.cheap][s.pos].v != v {
+				t.Fatalf("seed %d step %d: %s is not where its slot says", seed, step, v.spec.Name)
+			}
+		}
+	}
+	runs := 0
+	for _, n := range b.runs {
+		if !n.server.removed {
+			runs++
+		}
+	}
+	if usable != p.usable || ejected != p.ejected || open != p.open[0]+p.open[1] || own != runs || ejected > p.maxEjected() {
+		t.Fatalf("seed %d step %d: usable %d/%d ejected %d/%d open %d/%v own %d/%d", seed, step, usable, p.usable, ejected, p.ejected, open, p.open, own, runs)
+	}
+}
--- /dev/null
+++ b/internal/traffic/balance/choose.go
@@ -0,0 +1,225 @@
+package balance
+
+import (
+	"time"
+
+	"shallotramp/internal/traffic/request"
+)
+
+const (
+	// allOf is the size up to which a list is looked at whole; of longer ones choices are drawn.
+	allOf   = 8
+	choices = 5
+	// spillLoad is the load of the best server of the host's zone from which other zones are looked at.
+	spillLoad = 0.75
+	// usualOutput, usualService and usualPrefill are assumed until requests were measured.
+	usualOutput  = 256.0
+	usualService = 2.0
+	usualPrefill = 1.0 / 5000
+	// maxOutputFactor bounds how much a caller's bound on the output counts.
+	maxOutputFactor = 4.0
+	// loadCost is how much longer a request takes on a full server than on an empty one.
+	loadCost = 1.0
+	// failureCost in seconds is what each recent failure of a server counts.
+	failureCost = 0.5
+	// priceCost in seconds is what a server of the pool's mean price counts.
+	priceCost = 0.05
+	// sameZoneCost in seconds keeps a retry out of the zone where an attempt failed.
+	sameZoneCost = 0.25
+)
+
+// The reasons given for a choice.
+const (
+	whyCached = "has the prompt's prefix cached"
+	whyLocal  = "shortest expected time in the zone"
+	whyRemote = "shortest expected time, in another zone"
+)
+
+// exclusion is the servers that a request must not get, and their zones.
+type exclusion struct {
+	names []string
+	zones []string
+}
+
+func (x *exclusion) set(b *Balancer, names []string) {
+	x.names, x.zones = names, x.zones[:0]
+	for _, n := range names {
+		if v, ok := b.servers[n]; ok {
+			x.zones = append(x.zones, v.spec.Zone)
+		}
+	}
+}
+
+func has(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+// search is one choice under way.
+type search struct {
+	b      *Balancer
+	now    time.Time
+	r      *request.Request
+	p      *pool
+	list   *targetList
+	cheap  bool
+	best   *server
+	cost   float64
+	cached bool
+}
+
+// Choose returns the server for r, which is none of exclude, and why. It returns false when no server has room.
+func (b *Balancer) Choose(now time.Time, r *request.Request, exclude []string) (server, why string, ok bool) {
+	b.advance(now)
+	p, ok := b.pools[r.Pool]
+	if !ok {
+		return "", "", false
+	}
+	b.exclude.set(b, exclude)
+	s := search{b: b, now: now, r: r, p: p, list: p.target(targetOf(r.Model, r.Adapter, r.Version)), cheap: b.allowsCheap(r.Class)}
+	s.prefixed()
+	s.sample(0)
+	if s.best == nil || len(exclude) > 0 || s.best.loadFactor(now) >= spillLoad {
+		s.sample(1)
+	}
+	if s.best == nil {
+		return "", "", false
+	}
+	return s.best.spec.Name, s.why(), true
+}
+
+func (s *search) why() string {
+	switch {
+	case s.cached:
+		return whyCached
+	case s.best.remote == 1:
+		return whyRemote
+	}
+	return whyLocal
+}
+
+// allowsCheap reports whether a class may run on reclaimable servers. Requests without a class may not.
+func (b *Balancer) allowsCheap(class string) bool {
+	c, ok := b.snap.Set.Classes[class]
+	return ok && c.Reclaimable
+}
+
+// Room reports whether a server of the pool has room for a request of the tier.
+func (b *Balancer) Room(now time.Time, pool string, tier int) bool {
+	b.advance(now)
+	p, ok := b.pools[pool]
+	if !ok {
+		return false
+	}
+	return p.open[0] > 0 || p.open[1] > 0 && b.tierAllowsCheap(tier)
+}
+
+func (b *Balancer) tierAllowsCheap(tier int) bool {
+	for _, c := range b.snap.Set.Classes {
+		if c.Tier == tier && c.Reclaimable {
+			return true
+		}
+	}
+	return false
+}
+
+// prefixed considers the servers that may have most of the prompt cached.
+func (s *search) prefixed() {
+	h, ok := s.b.cache.deepest(s.r.Prefix)
+	if !ok {
+		return
+	}
+	for i := range h.n {
+		v := h.list[i].v
+		if h.list[i].valid() && v.pool == s.p && v.listed && s.inList(v) {
+			s.consider(v)
+		}
+	}
+}
+
+// inList reports whether a server with room has the request's target loaded and may run its class.
+func (s *search) inList(v *server) bool {
+	if v.cheap == 1 && !s.cheap {
+		return false
+	}
+	return targetOf(s.r.Model, s.r.Adapter, s.r.Version).fits(v)
+}
+
+// sample considers servers with room, in the host's zone (0) or in others (1).
+func (s *search) sample(remote int) {
+	s.draw(&s.list.open[remote][0])
+	if s.cheap {
+		s.draw(&s.list.open[remote][1])
+	}
+}
+
+func (s *search) draw(list *[]entry) {
+	if len(*list) <= allOf {
+		// Downward, for a server found full is replaced by the last one.
+		for i := len(*list) - 1; i >= 0; i-- {
+			s.consider((*list)[i].v)
+		}
+		return
+	}
+	for range choices {
+		if len(*list) == 0 {
+			return
+		}
+		s.consider((*list)[s.b.rng.IntN(len(*list))].v)
+	}
+}
+
+// consider makes v the choice if it has room and costs less.
+func (s *search) consider(v *server) {
+	if v == s.best || has(s.b.exclude.names, v.spec.Name) {
+		return
+	}
+	// What only time has changed was not noted yet.
+	s.b.update(s.now, v)
+	if !v.listed {
+		return
+	}
+	cached := s.b.cache.match(v, s.r.Prefix)
+	c := s.costOf(v, cached)
+	if s.best == nil || c < s.cost {
+		s.best, s.cost, s.cached = v, c, cached > 0
+	}
+}
+
+// costOf estimates the seconds that the request takes on v, with price and risk counted in.
+func (s *search) costOf(v *server, cached int) float64 {
+	uncached := max(0, float64(s.r.PromptTokens)-float64(cached*blockTokens)*v.cache.trust())
+	seconds := uncached * s.p.prefill.or(usualPrefill)
+	seconds += s.service() * (1 + loadCost*v.loadFactor(s.now))
+	seconds /= v.speed
+	if v.spec.Zone != s.b.zone {
+		seconds += s.b.distance(v.spec.Zone).Seconds()
+	}
+	if s.p.price > 0 {
+		seconds += priceCost * v.spec.Price / s.p.price
+	}
+	seconds += failureCost * float64(v.failures)
+	if has(s.b.exclude.zones, v.spec.Zone) {
+		seconds += sameZoneCost
+	}
+	return seconds
+}
+
+// service is the usual time of generating an answer, less when the caller bounds it.
+func (s *search) service() float64 {
+	out := s.p.tokenOut.or(usualOutput)
+	usual := s.p.service.or(usualService)
+	if s.r.MaxTokens == 0 || out <= 0 {
+		return usual
+	}
+	return usual * min(maxOutputFactor, min(float64(s.r.MaxTokens), out)/out)
+}
+
+// loadFactor is the server's load, where 1 is as much as it runs well.
+func (v *server) loadFactor(now time.Time) float64 {
+	return float64(v.outstanding(now)) / float64(v.limit(now))
+}
--- /dev/null
+++ b/internal/traffic/balance/server.go
@@ -0,0 +1,267 @@
+package balance
+
+import (
+	"math"
+	"time"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/traffic/dispatch"
+)
+
+const (
+	// slowStart is how long a new or returned server takes to be filled.
+	slowStart = 10 * time.Second
+	// minShare is the shortest time after which a host's share of a server's free room is drawn
+	// anew; it is as long as the hosts take to report.
+	minShare = 250 * time.Millisecond
+	// wakeInterval is how often a server without room is looked at though nothing happens.
+	wakeInterval = 250 * time.Millisecond
+	// staleReport is the age from which a load report says nothing of other hosts' work any more.
+	staleReport = 15 * time.Second
+	// maxChanges bounds the changes of own work kept since the last report.
+	maxChanges = 256
+	// fullSpeed is the relative speed from which a server is filled as configured.
+	fullSpeed = 0.8
+)
+
+// server is what is known of one backend server.
+type server struct {
+	spec    *object.BackendServerSpec
+	pool    *pool
+	removed bool
+	remote  int
+	cheap   int
+
+	leaving, leavingLoad, gone bool
+	goneAt, slowSince          time.Time
+	usable                     bool
+
+	// own and streams count this host's attempts, others those that the peers told of, and foreign
+	// those of the last report that belonged to neither.
+	own, streams, others, foreign int
+	reportAt                      time.Time
+	changes                       []change
+	// grant is how many more attempts this host may send before its share is drawn anew.
+	grant   int
+	grantAt time.Time
+
+	// speed relates the server to its pool, rate is its tokens a second in one stream, 0 for unknown.
+	speed, rate      float64
+	rateAt, progress time.Time
+
+	failures     int
+	ejected      bool
+	ejectedUntil time.Time
+	ejections    int
+
+	// loaded is nil when the server tells nothing.
+	loaded     map[string]bool
+	loadedList []string
+	slots      []slot
+	listed     bool
+	wakeAt     time.Time
+	wakeIndex  int
+
+	cache cacheView
+}
+
+// change is a start or an end of own work.
+type change struct {
+	at    time.Time
+	delta int
+}
+
+// adopt takes the server's configuration.
+func (v *server) adopt(spec *object.BackendServerSpec, p *pool) {
+	v.spec, v.pool = spec, p
+	v.slots, v.listed, v.wakeAt, v.wakeIndex = nil, false, time.Time{}, -1
+	v.cheap = 0
+	if spec.Reclaimable {
+		v.cheap = 1
+	}
+	if v.speed == 0 {
+		v.speed = v.usualSpeed()
+	}
+}
+
+// usualSpeed is the relative speed that is assumed without measurements.
+func (v *server) usualSpeed() float64 {
+	if v.spec.Speed > 0 {
+		return v.spec.Speed
+	}
+	return 1
+}
+
+func (v *server) enter(now time.Time, stream bool) {
+	v.own++
+	v.grant--
+	if stream {
+		if v.streams == 0 {
+			v.progress = now
+		}
+		v.streams++
+	}
+	v.change(now, 1)
+}
+
+func (v *server) leave(now time.Time, stream bool) {
+	v.own--
+	// The place is this host's to fill again: no other host knows of it yet.
+	v.grant++
+	if stream {
+		v.streams--
+	}
+	v.change(now, -1)
+}
+
+func (v *server) change(now time.Time, delta int) {
+	if len(v.changes) >= maxChanges {
+		v.changes = append(v.changes[:0], v.changes[maxChanges/2:]...)
+	}
+	v.changes = append(v.changes, change{now, delta})
+}
+
+// report takes a load report. Own work that began after it was measured is not in it,
+// and own work that ended since still is.
+func (v *server) report(l dispatch.Load) {
+	then := v.own
+	kept := v.changes[:0]
+	for _, c := range v.changes {
+		if c.at.After(l.At) {
+			then -= c.delta
+			kept = append(kept, c)
+		}
+	}
+	v.changes = kept
+	v.foreign = max(0, l.Running+l.Waiting-then-v.others)
+	v.reportAt = l.At
+	v.leavingLoad = l.Leaving
+	if v.gone && l.At.After(v.goneAt) {
+		v.gone = false
+		v.slowSince = l.At
+	}
+}
+
+// load takes the list of what the server has loaded, and returns whether it changed. A server
+// that tells nothing is taken to have loaded all.
+func (v *server) load(list []string) bool {
+	if equal(list, v.loadedList) {
+		return false
+	}
+	v.loadedList = append([]string(nil), list...)
+	v.loaded = nil
+	if len(list) > 0 {
+		v.loaded = make(map[string]bool, len(list))
+		for _, s := range list {
+			v.loaded[s] = true
+		}
+	}
+	return true
+}
+
+func equal(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// outstanding estimates the requests that the server has now.
+func (v *server) outstanding(now time.Time) int {
+	n := v.own + v.others
+	if now.Sub(v.reportAt) < staleReport {
+		n += v.foreign
+	}
+	return n
+}
+
+// limit is how many requests the server should have now: a slow or a new one has fewer.
+func (v *server) limit(now time.Time) int {
+	c := float64(v.pool.concurrency)
+	if v.speed < fullSpeed {
+		c *= v.speed
+	}
+	if age := now.Sub(v.slowSince); age < slowStart {
+		c *= float64(age) / float64(slowStart)
+	}
+	return max(1, int(math.Ceil(c)))
+}
+
+// available reports whether the server may get any work now.
+func (v *server) available(now time.Time) bool {
+	return !v.removed && !v.gone && !v.leaving && !v.leavingLoad && !(v.ejected && now.Before(v.ejectedUntil))
+}
+
+// hasRoom reports whether the server has room for one more attempt of this host.
+func (v *server) hasRoom(now time.Time, contenders float64) bool {
+	free := v.limit(now) - v.outstanding(now)
+	if free <= 0 {
+		return false
+	}
+	if contenders <= 0 {
+		return true
+	}
+	return v.grant > 0 || v.own < int(float64(v.limit(now))/(1+contenders))
+}
+
+// update brings the server's place in the lists up to date.
+func (b *Balancer) update(now time.Time, v *server) {
+	if v.removed {
+		return
+	}
+	b.relax(now, v)
+	ok := v.available(now)
+	if ok != v.usable {
+		v.usable = ok
+		v.pool.usable += sign(ok)
+	}
+	contenders := b.contenders[v.spec.Zone]
+	if contenders > 0 && now.Sub(v.grantAt) >= b.shareInterval() {
+		b.share(now, v, contenders)
+	}
+	open := ok && v.hasRoom(now, contenders)
+	if open != v.listed {
+		v.listed = open
+		v.pool.open[v.cheap] += sign(open)
+		v.list(b.zone, open)
+	}
+	if !open && !v.gone && !v.leaving {
+		b.wake(v, b.wakeTime(now, v))
+	}
+}
+
+func sign(b bool) int {
+	if b {
+		return 1
+	}
+	return -1
+}
+
+func (b *Balancer) shareInterval() time.Duration {
+	return max(minShare, time.Duration(b.heard.or(0)*float64(time.Second)))
+}
+
+// share draws how much of the server's free room this host may fill until it hears of the others
+// again. All hosts' shares add up to the free room on average.
+func (b *Balancer) share(now time.Time, v *server, contenders float64) {
+	free := float64(v.limit(now) - v.outstanding(now))
+	part := max(0, free/(1+contenders))
+	v.grant = int(part)
+	if b.rng.Float64() < part-float64(v.grant) {
+		v.grant++
+	}
+	v.grantAt = now
+}
+
+// wakeTime is when a server without room may have some though nothing happens.
+func (b *Balancer) wakeTime(now time.Time, v *server) time.Time {
+	if v.ejected && now.Before(v.ejectedUntil) {
+		return v.ejectedUntil
+	}
+	return now.Add(wakeInterval)
+}
