--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -51,9 +51,11 @@
 	concurrency int
 	servers     []*server
 	targets     map[target]*targetList
-	// usable, ejected and open count servers; open is by whether they are reclaimable.
+	// tiers holds the tiers that the pool serves, the first one first.
+	tiers []tier
+	// usable, ejected and open count servers; open is by room and by whether they are reclaimable.
 	usable, ejected int
-	open            [2]int
+	open            [levels][2]int
 	// rate sums the learned token rates of rated servers.
 	rate     float64
 	rated    int
@@ -63,6 +65,12 @@
 	tokenOut mean
 }
 
+// tier is a tier that a pool serves; cheap tells that some class of it may use reclaimable servers.
+type tier struct {
+	number int
+	cheap  bool
+}
+
 // run is an attempt of this host that is under way.
 type run struct {
 	server   *server
@@ -157,10 +165,20 @@
 // newPool returns a pool with a list for each target of its routes.
 func newPool(s *release.Snapshot, name string) *pool {
 	p := &pool{concurrency: max(1, s.Set.Pools[name].Concurrency), targets: map[target]*targetList{}}
+	cheap := map[int]bool{}
 	for _, r := range s.Set.Routes {
-		if r.Pool == name {
-			p.targets[targetOf(r.Model, r.Adapter, r.Version)] = &targetList{}
+		if r.Pool != name {
+			continue
 		}
+		p.targets[targetOf(r.Model, r.Adapter, r.Version)] = &targetList{}
+		for _, class := range r.Classes {
+			if c, ok := s.Set.Classes[class]; ok {
+				cheap[c.Tier] = cheap[c.Tier] || c.Reclaimable
+			}
+		}
+	}
+	for _, n := range slices.Sorted(maps.Keys(cheap)) {
+		p.tiers = append(p.tiers, tier{n, cheap[n]})
 	}
 	return p
 }
@@ -241,7 +259,7 @@
 	v.report(l)
 	v.cache.report(now, l.CacheSequence)
 	if v.load(l.Loaded) {
-		v.unlist()
+		v.list(b.zone, closed)
 		v.index(v.pool)
 	}
 	b.update(now, v)
@@ -272,7 +290,7 @@
 		p = &peer{}
 		b.peers[h.Host] = p
 	}
-	if ok && h.At.Before(p.at) {
+	if ok && h.At.Before(p.at) && now.Sub(p.heard) < peerLife {
 		return
 	}
 	if ok {
--- a/internal/traffic/balance/choose.go
+++ b/internal/traffic/balance/choose.go
@@ -67,6 +67,7 @@
 	p      *pool
 	list   *targetList
 	cheap  bool
+	level  level
 	best   *server
 	cost   float64
 	cached bool
@@ -81,10 +82,10 @@
 	}
 	b.exclude.set(b, exclude)
 	s := search{b: b, now: now, r: r, p: p, list: p.target(targetOf(r.Model, r.Adapter, r.Version)), cheap: b.allowsCheap(r.Class)}
-	s.prefixed()
-	s.sample(0)
-	if s.best == nil || len(exclude) > 0 || s.best.loadFactor(now) >= spillLoad {
-		s.sample(1)
+	s.find()
+	if s.best == nil && p.first(r.Tier) {
+		s.level = packed
+		s.find()
 	}
 	if s.best == nil {
 		return "", "", false
@@ -92,6 +93,18 @@
 	return s.best.spec.Name, s.why(), true
 }
 
+// find considers servers of the search's level.
+func (s *search) find() {
+	s.prefixed()
+	s.sample(0)
+	if s.best == nil || len(s.b.exclude.names) > 0 || s.best.loadFactor(s.now) >= spillLoad {
+		s.sample(1)
+	}
+}
+
+// first reports whether a tier is the first one that the pool serves.
+func (p *pool) first(number int) bool { return len(p.tiers) > 0 && p.tiers[0].number == number }
+
 func (s *search) why() string {
 	switch {
 	case s.cached:
@@ -108,23 +121,20 @@
 	return ok && c.Reclaimable
 }
 
-// Room reports whether a server of the pool has room for a request of the tier.
-func (b *Balancer) Room(now time.Time, pool string, tier int) bool {
+// Room reports whether a server of the pool has room for a request of a rank. Rank 1 is the first of
+// the tiers that the pool serves.
+func (b *Balancer) Room(now time.Time, pool string, rank int) bool {
 	b.advance(now)
 	p, ok := b.pools[pool]
 	if !ok {
 		return false
 	}
-	return p.open[0] > 0 || p.open[1] > 0 && b.tierAllowsCheap(tier)
+	cheap := rank >= 1 && rank <= len(p.tiers) && p.tiers[rank-1].cheap
+	return p.hasOpen(roomy, cheap) || rank == 1 && p.hasOpen(packed, cheap)
 }
 
-func (b *Balancer) tierAllowsCheap(tier int) bool {
-	for _, c := range b.snap.Set.Classes {
-		if c.Tier == tier && c.Reclaimable {
-			return true
-		}
-	}
-	return false
+func (p *pool) hasOpen(l level, cheap bool) bool {
+	return p.open[l][0] > 0 || cheap && p.open[l][1] > 0
 }
 
 // prefixed considers the servers that may have most of the prompt cached.
@@ -135,7 +145,7 @@
 	}
 	for i := range h.n {
 		v := h.list[i].v
-		if h.list[i].valid() && v.pool == s.p && v.listed && s.inList(v) {
+		if h.list[i].valid() && v.pool == s.p && v.level == s.level && s.inList(v) {
 			s.consider(v)
 		}
 	}
@@ -151,9 +161,9 @@
 
 // sample considers servers with room, in the host's zone (0) or in others (1).
 func (s *search) sample(remote int) {
-	s.draw(&s.list.open[remote][0])
+	s.draw(&s.list.open[s.level][remote][0])
 	if s.cheap {
-		s.draw(&s.list.open[remote][1])
+		s.draw(&s.list.open[s.level][remote][1])
 	}
 }
 
@@ -180,7 +190,7 @@
 	}
 	// What only time has changed was not noted yet.
 	s.b.update(s.now, v)
-	if !v.listed {
+	if v.level != s.level {
 		return
 	}
 	cached := s.b.cache.match(v, s.r.Prefix)
--- a/internal/traffic/balance/server.go
+++ b/internal/traffic/balance/server.go
@@ -20,10 +20,26 @@
 	staleReport = 15 * time.Second
 	// maxChanges bounds the changes of own work kept since the last report.
 	maxChanges = 256
+	// overcommit is the share of a server's places that the first tier may use beyond the others:
+	// an engine that is filled a little more is slower, but a first token need not wait for a place.
+	overcommit = 0.25
 	// fullSpeed is the relative speed from which a server is filled as configured.
 	fullSpeed = 0.8
 )
 
+// level is how much room a server has.
+type level int8
+
+const (
+	// closed servers get no work.
+	closed level = iota - 1
+	// roomy servers have room for any tier, packed ones for the first tier only.
+	roomy
+	packed
+
+	levels = 2
+)
+
 // server is what is known of one backend server.
 type server struct {
 	spec    *object.BackendServerSpec
@@ -58,7 +74,7 @@
 	loaded     map[string]bool
 	loadedList []string
 	slots      []slot
-	listed     bool
+	level      level
 	wakeAt     time.Time
 	wakeIndex  int
 
@@ -74,7 +90,7 @@
 // adopt takes the server's configuration.
 func (v *server) adopt(spec *object.BackendServerSpec, p *pool) {
 	v.spec, v.pool = spec, p
-	v.slots, v.listed, v.wakeAt, v.wakeIndex = nil, false, time.Time{}, -1
+	v.slots, v.level, v.wakeAt, v.wakeIndex = nil, closed, time.Time{}, -1
 	v.cheap = 0
 	if spec.Reclaimable {
 		v.cheap = 1
@@ -197,16 +213,20 @@
 	return !v.removed && !v.gone && !v.leaving && !v.leavingLoad && !(v.ejected && now.Before(v.ejectedUntil))
 }
 
-// hasRoom reports whether the server has room for one more attempt of this host.
-func (v *server) hasRoom(now time.Time, contenders float64) bool {
-	free := v.limit(now) - v.outstanding(now)
-	if free <= 0 {
-		return false
+// room returns how much room the server has for one more attempt of this host.
+func (v *server) room(now time.Time, contenders float64) level {
+	if !v.available(now) {
+		return closed
+	}
+	limit := v.limit(now)
+	free := limit - v.outstanding(now)
+	if free > 0 && (contenders <= 0 || v.grant > 0 || v.own < int(float64(limit)/(1+contenders))) {
+		return roomy
 	}
-	if contenders <= 0 {
-		return true
+	if free+int(overcommit*float64(limit)) > 0 {
+		return packed
 	}
-	return v.grant > 0 || v.own < int(float64(v.limit(now))/(1+contenders))
+	return closed
 }
 
 // update brings the server's place in the lists up to date.
@@ -224,13 +244,10 @@
 	if contenders > 0 && now.Sub(v.grantAt) >= b.shareInterval() {
 		b.share(now, v, contenders)
 	}
-	open := ok && v.hasRoom(now, contenders)
-	if open != v.listed {
-		v.listed = open
-		v.pool.open[v.cheap] += sign(open)
-		v.list(b.zone, open)
+	if l := v.room(now, contenders); l != v.level {
+		v.list(b.zone, l)
 	}
-	if !open && !v.gone && !v.leaving {
+	if v.level != roomy && !v.gone && !v.leaving {
 		b.wake(v, b.wakeTime(now, v))
 	}
 }
--- a/internal/traffic/balance/target.go
+++ b/internal/traffic/balance/target.go
@@ -18,9 +18,9 @@
 	return t.adapter != "" || t.version != "" || v.loaded[t.model]
 }
 
-// targetList holds the servers with room for a target: by remote (1) or in the host's zone (0),
-// and by reclaimable (1) or not (0).
-type targetList struct{ open [2][2][]entry }
+// targetList holds the servers with room for a target: by level, by remote (1) or in the host's
+// zone (0), and by reclaimable (1) or not (0).
+type targetList struct{ open [levels][2][2][]entry }
 
 // entry is a server in a list; slot is the place in its slots that knows of the list.
 type entry struct {
@@ -42,44 +42,49 @@
 			v.slots = append(v.slots, slot{l, -1})
 		}
 	}
-	v.listed = false
+	v.level = closed
 }
 
-// unlist takes the server out of all lists before it is indexed anew.
-func (v *server) unlist() {
-	if !v.listed {
+// list moves the server to the lists of its targets for a level.
+func (v *server) list(zone string, to level) {
+	if v.level != closed {
+		v.pool.open[v.level][v.cheap]--
+		for i := range v.slots {
+			v.slots[i].leave(v)
+		}
+	}
+	v.level = to
+	if to == closed {
 		return
 	}
-	v.listed = false
-	v.pool.open[v.cheap]--
-	v.list("", false)
-}
-
-// list enters the server into the lists of its targets, or takes it out.
-func (v *server) list(zone string, in bool) {
-	if in {
-		v.remote = 0
-		if v.spec.Zone != zone {
-			v.remote = 1
-		}
+	v.remote = 0
+	if v.spec.Zone != zone {
+		v.remote = 1
 	}
+	v.pool.open[to][v.cheap]++
 	for i := range v.slots {
-		s := &v.slots[i]
-		open := &s.list.open[v.remote][v.cheap]
-		if in {
-			s.pos = len(*open)
-			*open = append(*open, entry{v, i})
-			continue
-		}
-		last := len(*open) - 1
-		moved := (*open)[last]
-		(*open)[s.pos] = moved
-		moved.v.slots[moved.slot].pos = s.pos
-		*open = (*open)[:last]
-		s.pos = -1
+		v.slots[i].enter(v, i)
 	}
 }
 
+func (s *slot) open(v *server) *[]entry { return &s.list.open[v.level][v.remote][v.cheap] }
+
+func (s *slot) enter(v *server, i int) {
+	open := s.open(v)
+	s.pos = len(*open)
+	*open = append(*open, entry{v, i})
+}
+
+func (s *slot) leave(v *server) {
+	open := s.open(v)
+	last := len(*open) - 1
+	moved := (*open)[last]
+	(*open)[s.pos] = moved
+	moved.v.slots[moved.slot].pos = s.pos
+	*open = (*open)[:last]
+	s.pos = -1
+}
+
 // target returns the list for t, and makes it when the release in force has no route for it any more.
 func (p *pool) target(t target) *targetList {
 	if l, ok := p.targets[t]; ok {
@@ -92,11 +97,9 @@
 			continue
 		}
 		v.slots = append(v.slots, slot{l, -1})
-		if v.listed {
+		if v.level != closed {
 			i := len(v.slots) - 1
-			open := &l.open[v.remote][v.cheap]
-			v.slots[i].pos = len(*open)
-			*open = append(*open, entry{v, i})
+			v.slots[i].enter(v, i)
 		}
 	}
 	return l
