--- /dev/null
+++ b/internal/usage/reporter/settle.go
@@ -0,0 +1,169 @@
+package reporter
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"shallotramp/internal/platform/store"
+	"shallotramp/internal/usage/ledger"
+	"shallotramp/internal/usage/meter"
+	"shallotramp/internal/usage/tag"
+	"shallotramp/internal/usage/window"
+)
+
+// readersAtOnce bounds the backend servers asked at the same time.
+const readersAtOnce = 16
+
+// settleSilent books what backend servers counted for hosts that no longer flush. A host
+// that is only paused loses nothing by it: it books the rest when it comes back.
+func (r *Reporter) settleSilent(ctx context.Context, now bool) error {
+	if r.records == nil || !now && !r.settleDue() {
+		return nil
+	}
+	list, _, err := r.store.List(ctx, ledger.Kind)
+	if err != nil {
+		return err
+	}
+	known := map[string]store.Object{}
+	silent := map[string]*ledger.Spec{}
+	for _, o := range list {
+		known[o.Name] = o
+		s, err := ledger.Decode(o)
+		if err != nil {
+			return err
+		}
+		if idle := time.Since(s.Flushed); !s.Closed && idle > silentAfter && idle < settleFor {
+			silent[o.Name] = s
+		}
+	}
+	r.settled, r.unread = time.Now(), nil
+	if len(silent) == 0 && !now {
+		return nil
+	}
+	counts, unread := r.readAll(ctx)
+	for _, server := range unread {
+		for _, s := range silent {
+			r.unread = append(r.unread, s.Host+" "+server)
+		}
+	}
+	for incarnation, sums := range counts {
+		if err := r.bookSilent(ctx, known, silent, incarnation, sums); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settleDue reports whether a reading is due, by time or by a hint old enough for the host to count as silent.
+func (r *Reporter) settleDue() bool {
+	v := r.vanished.Load()
+	if v != 0 && time.Since(time.Unix(0, v)) > silentAfter && r.vanished.CompareAndSwap(v, 0) {
+		return true
+	}
+	return time.Since(r.settled) >= settleInterval
+}
+
+// bookSilent raises one incarnation's requests to the servers' counts.
+func (r *Reporter) bookSilent(ctx context.Context, known map[string]store.Object, silent map[string]*ledger.Spec, incarnation string, sums map[tag.Tag]meter.Use) error {
+	o, ok := known[incarnation]
+	if ok && silent[incarnation] == nil {
+		return nil
+	}
+	if !ok {
+		var err error
+		if o, ok, err = r.adopt(ctx, incarnation); err != nil || !ok {
+			return err
+		}
+	}
+	_, err := r.changeLedger(ctx, o, func(s *ledger.Spec) (bool, error) {
+		return r.raise(s, sums), nil
+	})
+	return err
+}
+
+// adopt creates the ledger of a host that vanished before its first flush.
+func (r *Reporter) adopt(ctx context.Context, incarnation string) (store.Object, bool, error) {
+	if !startedBefore(incarnation, silentAfter) || startedBefore(incarnation, keepLedgers) {
+		return store.Object{}, false, nil
+	}
+	s := &ledger.Spec{Incarnation: incarnation, Host: "unknown", Next: 1, Flushed: tag.Started(incarnation)}
+	o, err := s.Encode("")
+	if err != nil {
+		return store.Object{}, false, err
+	}
+	o, err = r.store.Create(ctx, o)
+	if store.Failed(err, store.Exists) {
+		return store.Object{}, false, nil
+	}
+	return o, err == nil, err
+}
+
+// startedBefore reports whether the incarnation's name tells a start more than d ago.
+func startedBefore(incarnation string, d time.Duration) bool {
+	t := tag.Started(incarnation)
+	return !t.IsZero() && time.Since(t) > d
+}
+
+func (r *Reporter) raise(s *ledger.Spec, sums map[tag.Tag]meter.Use) bool {
+	names := map[uint64]string{tag.Digest(""): ""}
+	for _, n := range r.names() {
+		names[tag.Digest(n)] = n
+	}
+	tags := make([]tag.Tag, 0, len(sums))
+	for t := range sums {
+		tags = append(tags, t)
+	}
+	sort.Slice(tags, func(i, j int) bool { return tags[i].Number < tags[j].Number })
+	changed := false
+	for _, t := range tags {
+		name, ok := names[t.Organisation]
+		if !ok {
+			name = fmt.Sprintf("unknown-%016x", t.Organisation)
+		}
+		changed = s.Raise(window.Of(s.Flushed, r.length), t.Number, name, sums[t]) || changed
+	}
+	return changed
+}
+
+// readAll sums all servers' counts by incarnation and request, and names the servers that gave none.
+func (r *Reporter) readAll(ctx context.Context) (map[string]map[tag.Tag]meter.Use, []string) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := map[string]map[tag.Tag]meter.Use{}
+	var unread []string
+	slots := make(chan struct{}, readersAtOnce)
+	for _, server := range r.servers() {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(ctx, readTimeout)
+			defer cancel()
+			counts, err := r.records.Counts(ctx, server, "")
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unread = append(unread, server)
+				return
+			}
+			addCounts(out, counts)
+		})
+	}
+	wg.Wait()
+	return out, unread
+}
+
+func addCounts(out map[string]map[tag.Tag]meter.Use, counts map[tag.Tag]meter.Use) {
+	for t, u := range counts {
+		sums := out[t.Incarnation]
+		if sums == nil {
+			sums = map[tag.Tag]meter.Use{}
+			out[t.Incarnation] = sums
+		}
+		sum := sums[t].Add(u)
+		sum.Requests = 1
+		sums[t] = sum
+	}
+}
