relay: releases and confirmations from host to host, one relay a zone at the platform

Cause: if each host watched the platform, its calls would grow with the hosts. Hosts of a zone keep a full mesh of links, zones are tied by one relay each, and only relays follow the platform's head.

Ruled out: half the round trip as the way (wrong when one direction is slow); a star to the relay (the relay would carry 22 hosts' state 22 times); listing hosts before registering (of two hosts started at once neither found the other until the next list, 10 s later; seen in TestNodesSpreadReleases).

--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -31,6 +31,8 @@
 
 // Link is an open link to one host. Its methods are safe for concurrent use.
 type Link struct {
+	// ID tells the links of this process apart.
+	ID uint64
 	// Peer is the host at the other end, as its certificate and hello say.
 	Peer member.Host
 	// Dialled tells whether this end dialled.
@@ -45,6 +47,9 @@
 	dropped atomic.Int64
 }
 
+// lastID is the ID of the newest link.
+var lastID atomic.Uint64
+
 // The streams of a link.
 const (
 	control = iota
@@ -89,7 +94,7 @@
 func open(conn net.Conn, dialled bool, self member.Host, check func(name string) error) (*Link, error) {
 	peer := conn.RemoteAddr().String()
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	l := &Link{Dialled: dialled, closed: make(chan struct{})}
+	l := &Link{ID: lastID.Add(1), Dialled: dialled, closed: make(chan struct{})}
 	if err := l.mux(conn); err != nil {
 		_ = conn.Close()
 		return nil, refuse(peer, Unreachable, err)
--- a/internal/fleet/link/link_test.go
+++ b/internal/fleet/link/link_test.go
@@ -36,7 +36,7 @@
 func (r *recorder) Down(_ *link.Link, err error)                { r.down <- err }
 func (r *recorder) Receive(_ *link.Link, e *wire.Envelope)      { r.got <- e }
 func (r *recorder) Refused(_ netip.AddrPort, _ bool, err error) { r.refused <- err }
-func (r *recorder) reason(t *testing.T) (reason link.Refusal) { return reasonOf(t, <-r.refused) }
+func (r *recorder) reason(t *testing.T) (reason link.Refusal)   { return reasonOf(t, <-r.refused) }
 
 func beat(stamp uint64) *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_Heartbeat{Heartbeat: &wire.Heartbeat{Stamp: stamp}}}
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -4,8 +4,11 @@
 package member
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
-	"sort"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -74,7 +77,9 @@
 
 // Table holds the members that one host knows, without itself. It is used by one goroutine.
 type Table struct {
-	members     map[string]*Member
+	members map[string]*Member
+	// order holds the members by name; nil after one came or went.
+	order       []*Member
 	forgetAfter time.Duration
 }
 
@@ -93,7 +98,7 @@
 func (t *Table) Seed(now time.Time, h Host) {
 	m, ok := t.members[h.Name]
 	if !ok {
-		t.members[h.Name] = &Member{Host: h, State: Seeded, Since: now}
+		t.add(&Member{Host: h, State: Seeded, Since: now})
 		return
 	}
 	if h.Incarnation > m.Incarnation && m.State != Alive {
@@ -109,7 +114,7 @@
 	m, ok := t.members[h.Name]
 	if !ok {
 		m = &Member{Host: h, State: Seeded, Since: now}
-		t.members[h.Name] = m
+		t.add(m)
 	}
 	if h.Incarnation < m.Incarnation {
 		return nil
@@ -159,15 +164,15 @@
 // Tick suspects and forgets silent hosts.
 func (t *Table) Tick(now time.Time) []Change {
 	var out []Change
-	for _, m := range t.sorted() {
+	for m := range t.Each() {
 		switch {
 		case m.State == Alive && now.Sub(m.Heard) >= SuspectAfter:
 			m.Leased, m.Acting = false, false
 			out = append(out, t.move(now, m, Suspect, "no heartbeat")...)
 		case m.State == Left && now.Sub(m.Since) >= leftFor:
-			delete(t.members, m.Name)
+			t.remove(m)
 		case (m.State == Suspect || m.State == Seeded) && now.Sub(m.Since) >= t.forgetAfter:
-			delete(t.members, m.Name)
+			t.remove(m)
 			out = append(out, Change{Host: m.Host, From: m.State, To: Forgotten, Cause: "silent for longer than any grace"})
 		}
 	}
@@ -192,20 +197,29 @@
 	return *m, true
 }
 
-// All returns all members by name.
+// All returns copies of all members by name.
 func (t *Table) All() []Member {
 	out := make([]Member, 0, len(t.members))
-	for _, m := range t.sorted() {
+	for m := range t.Each() {
 		out = append(out, *m)
 	}
 	return out
 }
 
-func (t *Table) sorted() []*Member {
-	out := make([]*Member, 0, len(t.members))
-	for _, m := range t.members {
-		out = append(out, m)
+// Each goes through the members by name, which the caller must not change.
+func (t *Table) Each() iter.Seq[*Member] {
+	if t.order == nil {
+		t.order = slices.SortedFunc(maps.Values(t.members), func(a, b *Member) int { return strings.Compare(a.Name, b.Name) })
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
-	return out
+	return slices.Values(t.order)
+}
+
+func (t *Table) add(m *Member) {
+	t.members[m.Name] = m
+	t.order = nil
+}
+
+func (t *Table) remove(m *Member) {
+	delete(t.members, m.Name)
+	t.order = nil
 }
--- /dev/null
+++ b/internal/fleet/relay/carry.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/catalog/release"
+)
+
+// maxChunkBytes bounds one chunk after decompression.
+const maxChunkBytes = 1 << 20
+
+// carryOut does what the core wants.
+func (n *Node) carryOut(ctx context.Context, effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Dial:
+			n.endpoint.Dial(ctx, e.Address)
+		case Drop:
+			if l, ok := n.links[e.Link]; ok {
+				// Closing waits for the session's goroutines, which may wait for this one.
+				n.calls.Go(l.Close)
+			}
+		case Send:
+			if l, ok := n.links[e.Link]; ok {
+				l.Send(e.Message)
+			}
+		case Follow:
+			n.follow(ctx, e.On)
+		case ReadPlatform:
+			n.calls.Go(func() { n.read(ctx) })
+		case Adopt:
+			n.calls.Go(func() { n.adopt(e) })
+		case Confirm:
+			n.cfg.Holder.Confirm(e.Number, e.At)
+		case Note:
+			n.cfg.Events.Add(e.Kind, e.Subject, e.Cause)
+			n.cfg.Log.Info().Stringer("Kind", e.Kind).Str("Subject", e.Subject).Str("Cause", e.Cause).Msg("fleet changed")
+		}
+	}
+}
+
+// follow starts or stops the follower of the platform.
+func (n *Node) follow(ctx context.Context, on bool) {
+	if on == (n.following != nil) {
+		return
+	}
+	if !on {
+		n.following()
+		n.following = nil
+		ends := n.stopped
+		n.calls.Go(func() { <-ends })
+		return
+	}
+	ctx, n.following = context.WithCancel(ctx)
+	n.stopped = make(chan error, 1)
+	go n.follower.Run(ctx, n.stopped)
+}
+
+func (n *Node) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	err := n.follower.Read(ctx)
+	n.post(func(now time.Time) []Effect {
+		n.local(ctx, now)
+		return n.core.Read(now, err)
+	})
+}
+
+// adopted tells of the newest release; two releases adopted at once are told of in order.
+func (n *Node) adopted(*release.Snapshot) {
+	n.adopting.Lock()
+	defer n.adopting.Unlock()
+	s := n.cfg.Holder.Current()
+	if s.Number <= n.told {
+		return
+	}
+	n.told = s.Number
+	if n.cfg.Adopted != nil {
+		n.cfg.Adopted(s)
+	}
+	n.post(func(now time.Time) []Effect { return n.core.Local(now, s.Number, n.cfg.Holder.Confirmed()) })
+}
+
+// adopt verifies a release of another host and puts it in force.
+func (n *Node) adopt(a Adopt) {
+	s, err := n.build(a)
+	if err != nil {
+		n.post(func(now time.Time) []Effect { return n.core.Failed(now, a.Entry.Number, err) })
+		return
+	}
+	n.cfg.Holder.Adopt(s)
+	n.adopted(s)
+}
+
+func (n *Node) build(a Adopt) (*release.Snapshot, error) {
+	content, err := Unpack(a, n.shelf)
+	if err != nil {
+		return nil, err
+	}
+	set, err := release.Join(a.Entry.Chunks, content)
+	if err != nil {
+		return nil, err
+	}
+	n.shelf.Put(a.Entry, content)
+	return release.NewSnapshot(a.Entry.Number, a.Entry.Digest, set), nil
+}
+
+// Unpack returns the chunks of a release, from what came and from the shelf.
+func Unpack(a Adopt, shelf *release.Shelf) (map[string][]byte, error) {
+	_, have := shelf.Newest()
+	out := make(map[string][]byte, len(a.Entry.Chunks))
+	for _, r := range a.Entry.Chunks {
+		if b, ok := have[r.Digest]; ok {
+			out[r.Digest] = b
+			continue
+		}
+		packed, ok := a.Content[r.Digest]
+		if !ok {
+			return nil, &release.CorruptError{Digest: r.Digest}
+		}
+		b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxChunkBytes+1))
+		if err != nil || len(b) > maxChunkBytes {
+			return nil, errors.CombineErrors(&release.CorruptError{Digest: r.Digest}, err)
+		}
+		out[r.Digest] = b
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/fleet/relay/node_test.go
@@ -0,0 +1,201 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/fleet/link/testcert"
+	"shallotramp/internal/fleet/member"
+	"shallotramp/internal/fleet/relay"
+	"shallotramp/internal/platform/fake"
+	"shallotramp/internal/platform/store"
+)
+
+const configuration = `
+Kind: Organisation
+Name: river
+---
+Kind: Key
+Name: river-1
+Organisation: river
+Digest: %s
+`
+
+// cluster runs nodes over loopback around one stand-in of the platform.
+type cluster struct {
+	t     testing.TB
+	ca    *testcert.Authority
+	store *fake.Store
+	nodes map[string]*running
+}
+
+type running struct {
+	*relay.Node
+	holder *release.Holder
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func newCluster(t testing.TB) *cluster {
+	ca, err := testcert.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cluster{t: t, ca: ca, store: fake.NewStore(), nodes: map[string]*running{}}
+	t.Cleanup(func() {
+		for name := range c.nodes {
+			c.stop(name)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(name, zone string) *running {
+	return c.startWith(name, zone, c.store)
+}
+
+func (c *cluster) startWith(name, zone string, st store.Store, seeds ...netip.AddrPort) *running {
+	m, err := c.ca.Host(name)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	self := member.Host{Name: name, Zone: zone, Address: netip.MustParseAddrPort(ln.Addr().String()), Incarnation: uint64(time.Now().UnixNano())}
+	r := &running{holder: &release.Holder{}, done: make(chan error, 1)}
+	r.Node = relay.NewNode(relay.Config{
+		Self: self, Seeds: seeds, Listener: ln, Source: m, Store: st, Holder: r.holder, Log: zerolog.Nop(),
+	})
+	var ctx context.Context
+	ctx, r.cancel = context.WithCancel(context.Background())
+	go r.Run(ctx, r.done)
+	c.nodes[name] = r
+	return r
+}
+
+func (c *cluster) stop(name string) {
+	r := c.nodes[name]
+	delete(c.nodes, name)
+	r.cancel()
+	if err := <-r.done; err != nil {
+		c.t.Error(err)
+	}
+}
+
+func (c *cluster) publish(keys ...string) uint64 {
+	c.t.Helper()
+	set := object.NewSet()
+	for i, k := range keys {
+		text := fmt.Sprintf(configuration, object.DigestOf(k))
+		if i > 0 {
+			text = text[strings.Index(text, "---"):]
+			text = strings.ReplaceAll(text, "river-1", fmt.Sprintf("river-%d", i+1))
+		}
+		if errs := object.Read(set, "test", strings.NewReader(text)); len(errs) > 0 {
+			c.t.Fatal(errs)
+		}
+	}
+	head, _, err := release.ReadHead(context.Background(), c.store)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	e, err := release.Publish(context.Background(), c.store, release.Change{Base: head.Number, Set: set, Author: "test"}, time.Now())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return e.Number
+}
+
+// eventually waits until ok, and fails the test if it never holds.
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !ok() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("never: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (c *cluster) everywhere(number uint64) func() bool {
+	return func() bool {
+		for _, r := range c.nodes {
+			if s := r.holder.Current(); s == nil || s.Number < number {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (c *cluster) linked(want int) func() bool {
+	return func() bool {
+		for _, r := range c.nodes {
+			if len(r.View().Linked) < want {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestNodesSpreadReleases(t *testing.T) {
+	convey.Convey("Given two zones of three hosts over loopback", t, func() {
+		c := newCluster(t)
+		c.publish("first", "second")
+		for _, zone := range []string{"mid-a", "mid-b"} {
+			for i := range 3 {
+				c.start(fmt.Sprintf("%s-%d", zone, i), zone)
+			}
+		}
+		c.eventually("all hosts are linked with their zone", c.linked(2))
+		c.eventually("the first release is everywhere", c.everywhere(1))
+
+		convey.Convey("a withdrawn key is unknown on each host, also on those that have lost the platform", func() {
+			c.eventually("one relay a zone", func() bool {
+				return c.nodes["mid-a-0"].View().Acting && c.nodes["mid-b-0"].View().Acting
+			})
+			n := c.publish("first")
+			c.eventually("the release is everywhere", c.everywhere(n))
+			for _, r := range c.nodes {
+				_, ok := r.holder.Current().KeyOf(object.DigestOf("second"), time.Now())
+				convey.So(ok, convey.ShouldBeFalse)
+			}
+		})
+		convey.Convey("a host that starts with the platform down gets the release from its seed", func() {
+			down := fake.NewStore()
+			down.SetFaults(fake.Faults{Down: true})
+			seed := c.nodes["mid-a-1"]
+			late := c.startWith("mid-a-9", "mid-a", down, seed.Address())
+			c.eventually("it is ready", func() bool { return late.View().Ready })
+			convey.So(late.holder.Current().Number, convey.ShouldEqual, 1)
+			c.eventually("it is confirmed", func() bool { return !late.holder.Confirmed().IsZero() })
+		})
+		convey.Convey("a planned stop is told to the others and removes the object", func() {
+			c.stop("mid-a-2")
+			c.eventually("the others know", func() bool {
+				for _, m := range c.nodes["mid-a-1"].View().Members {
+					if m.Name == "mid-a-2" {
+						return m.State == member.Left
+					}
+				}
+				return false
+			})
+			_, err := c.store.Get(context.Background(), relay.HostKind, "mid-a-2")
+			convey.So(store.Failed(err, store.NotFound), convey.ShouldBeTrue)
+		})
+	})
+}
