gateway: an account for each request, whose id backend servers see

Usage stays exact when a host vanishes only if a backend server's own count can be booked without it: the request id now comes from the account.

--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -40,7 +40,15 @@
 // event of a stream is a few hundred bytes, and a host holds thousands of streams.
 const backendBufferBytes = 1 << 10
 
-// Counter takes what organisations use.
+// Account takes what one request uses. Its id names the request on backend servers.
+type Account interface {
+	ID() string
+	// Attempt adds what an attempt used on a server; exact use is the server's own final count.
+	Attempt(server string, u meter.Use, exact bool)
+	End()
+}
+
+// Counter takes what organisations use, for the host's own status.
 type Counter interface {
 	Count(organisation string, u meter.Use)
 }
@@ -51,6 +59,7 @@
 	holder   *release.Holder
 	loop     *dispatch.Loop
 	counter  Counter
+	accounts func(organisation string) Account
 	book     *explain.Book
 	metrics  *metrics.Set
 	log      zerolog.Logger
@@ -93,6 +102,11 @@
 // WithCounter sets what takes the use of organisations.
 func WithCounter(c Counter) Option { return func(g *Gateway) { g.counter = c } }
 
+// WithAccounts sets what opens an account for each request; without it requests get random ids.
+func WithAccounts(open func(organisation string) Account) Option {
+	return func(g *Gateway) { g.accounts = open }
+}
+
 // WithTransport sets the transport to backend servers.
 func WithTransport(rt http.RoundTripper) Option { return func(g *Gateway) { g.backends = rt } }
 
@@ -100,7 +114,7 @@
 func New(zone string, holder *release.Holder, loop *dispatch.Loop, opts ...Option) *Gateway {
 	g := &Gateway{
 		zone: zone, holder: holder, loop: loop,
-		counter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(), log: zerolog.Nop(),
+		counter: meter.New(), accounts: openNoAccount, book: explain.NewBook(), metrics: metrics.NewSet(), log: zerolog.Nop(),
 		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, open: newRegistry(),
 		backends: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
@@ -156,6 +170,15 @@
 	g.open.endWhere(func(c *call) *Fault { return allowed(snap, confirmed, c, now) })
 }
 
+// noAccount names a request and counts nothing.
+type noAccount struct{ id request.ID }
+
+func openNoAccount(string) Account { return noAccount{newID()} }
+
+func (a noAccount) ID() string                      { return string(a.id) }
+func (a noAccount) Attempt(string, meter.Use, bool) {}
+func (a noAccount) End()                            {}
+
 func newID() request.ID {
 	id, err := uuid.NewV7()
 	if err != nil {
