gateway: an account for each request, whose id backend servers see

Usage needs the request id to tell host incarnation and organisation, and needs to know which attempts ended with the server's own final count. WithAccounts is optional; without it the counter takes use as before.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -19,15 +19,16 @@
 
 // call is one caller's request on its way through the host.
 type call struct {
-	w      http.ResponseWriter
-	r      *http.Request
-	req    *request.Request
-	route  *object.RouteSpec
-	digest string
-	secret string
-	body   []byte
-	snap   *release.Snapshot
-	end    context.CancelCauseFunc
+	w       http.ResponseWriter
+	r       *http.Request
+	req     *request.Request
+	route   *object.RouteSpec
+	digest  string
+	secret  string
+	body    []byte
+	snap    *release.Snapshot
+	end     context.CancelCauseFunc
+	account Account
 	// answer is what the caller has got so far.
 	answer answerState
 }
@@ -85,6 +86,11 @@
 
 // serve takes c through queue, choice, attempts and answer.
 func (g *Gateway) serve(c *call) {
+	if g.accounts != nil {
+		c.account = g.accounts(c.req.Organisation)
+		c.req.ID = request.ID(c.account.ID())
+		defer c.account.End()
+	}
 	ctx, end := context.WithCancelCause(c.r.Context())
 	defer end(nil)
 	ctx, stop := context.WithDeadlineCause(ctx, c.req.Deadline, &Fault{Kind: TimedOut, Code: "deadline", Message: "the request's deadline passed", Remedy: "retry with a later deadline"})
@@ -200,9 +206,22 @@
 	if res.Outcome == request.Completed {
 		u.Requests = 1
 	}
-	if u != (meter.Use{}) {
+	switch {
+	case c.account != nil:
+		c.account.Attempt(res.Server, u, exact(c, res))
+	case u != (meter.Use{}):
 		g.counter.Count(c.req.Organisation, u)
 	}
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`output_tokens_total{class=%q}`, c.req.Class)).Add(res.OutputTokens)
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`delivered_tokens_total{class=%q}`, c.req.Class)).Add(res.Delivered)
 }
+
+// exact reports whether the result's count is the server's own final one. Plain services count nothing
+// themselves, and a request that was refused before it ran used nothing.
+func exact(c *call, res request.Result) bool {
+	switch res.Outcome {
+	case request.Completed, request.Unreachable, request.Rejected:
+		return true
+	}
+	return c.req.Model == ""
+}
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -45,12 +45,22 @@
 	Count(organisation string, u meter.Use)
 }
 
+// Account takes the use of one request. Its ID is the request id that backend servers see, so that their
+// own counts can be booked for a host that vanished.
+type Account interface {
+	ID() string
+	// Attempt adds what an attempt used; exact use is the server's own final count.
+	Attempt(server string, u meter.Use, exact bool)
+	End()
+}
+
 // Gateway serves callers. Create it with [New].
 type Gateway struct {
 	zone     string
 	holder   *release.Holder
 	loop     *dispatch.Loop
 	counter  Counter
+	accounts func(organisation string) Account
 	book     *explain.Book
 	metrics  *metrics.Set
 	log      zerolog.Logger
@@ -93,6 +103,11 @@
 // WithCounter sets what takes the use of organisations.
 func WithCounter(c Counter) Option { return func(g *Gateway) { g.counter = c } }
 
+// WithAccounts opens an account for each request by f, in place of the counter.
+func WithAccounts(f func(organisation string) Account) Option {
+	return func(g *Gateway) { g.accounts = f }
+}
+
 // WithTransport sets the transport to backend servers.
 func WithTransport(rt http.RoundTripper) Option { return func(g *Gateway) { g.backends = rt } }
 
