--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -96,9 +96,6 @@
 	ctx, stop := context.WithDeadlineCause(ctx, c.req.Deadline, &Fault{Kind: TimedOut, Code: "deadline", Message: "the request's deadline passed", Remedy: "retry with a later deadline"})
 	defer stop()
 	c.end = end
-	c.account = g.accounts(c.req.Organisation)
-	defer c.account.End()
-	c.req.ID = request.ID(c.account.ID())
 	g.open.add(c)
 	defer g.open.remove(c.req.ID)
 	// A release adopted since the check is seen by Enforce only for calls in the registry: check again.
@@ -203,7 +200,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// account counts what an attempt used. What a broken attempt used is known only to the server.
+// account counts what an attempt used.
 func (g *Gateway) account(c *call, res request.Result) {
 	u := meter.Use{PromptTokens: int64(res.PromptTokens), OutputTokens: int64(res.OutputTokens)}
 	if res.Outcome == request.Completed {
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -40,15 +40,7 @@
 // event of a stream is a few hundred bytes, and a host holds thousands of streams.
 const backendBufferBytes = 1 << 10
 
-// Account takes what one request uses. Its id names the request on backend servers.
-type Account interface {
-	ID() string
-	// Attempt adds what an attempt used on a server; exact use is the server's own final count.
-	Attempt(server string, u meter.Use, exact bool)
-	End()
-}
-
-// Counter takes what organisations use, for the host's own status.
+// Counter takes what organisations use.
 type Counter interface {
 	Count(organisation string, u meter.Use)
 }
@@ -123,7 +115,7 @@
 func New(zone string, holder *release.Holder, loop *dispatch.Loop, opts ...Option) *Gateway {
 	g := &Gateway{
 		zone: zone, holder: holder, loop: loop,
-		counter: meter.New(), accounts: openNoAccount, book: explain.NewBook(), metrics: metrics.NewSet(), log: zerolog.Nop(),
+		counter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(), log: zerolog.Nop(),
 		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, open: newRegistry(),
 		backends: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
@@ -179,15 +171,6 @@
 	g.open.endWhere(func(c *call) *Fault { return allowed(snap, confirmed, c, now) })
 }
 
-// noAccount names a request and counts nothing.
-type noAccount struct{ id request.ID }
-
-func openNoAccount(string) Account { return noAccount{newID()} }
-
-func (a noAccount) ID() string                      { return string(a.id) }
-func (a noAccount) Attempt(string, meter.Use, bool) {}
-func (a noAccount) End()                            {}
-
 func newID() request.ID {
 	id, err := uuid.NewV7()
 	if err != nil {
