scheduler: use the packages for choice, retries and suspects

Cause: the stand-ins behind the interfaces are no longer needed. Requests that may crash a server are kept apart or held as suspect tells; a refusal of a marked request waits until other hosts know of the mark.

--- /dev/null
+++ b/internal/traffic/scheduler/delay.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"time"
+
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/suspect"
+)
+
+// apartTries bounds the servers looked at for a request that may crash its server.
+const apartTries = 8
+
+// delay keeps a request aside until a time.
+func (p *Policy) delay(e *entry, until time.Time) {
+	e.notBefore = until
+	e.pool.delayed.Push(e)
+}
+
+// release takes back the delayed requests whose time has come.
+func (p *Policy) release(now time.Time, pl *pool) []dispatch.Effect {
+	var out []dispatch.Effect
+	for pl.delayed.Len() > 0 && !now.Before(pl.delayed.Peek().notBefore) {
+		e := pl.delayed.Pop()
+		switch effects, held := p.hold(now, e); {
+		case held:
+			out = append(out, effects...)
+		case e.over != "":
+			out = append(out, p.give(now, e)...)
+		case !now.Before(e.req.Deadline):
+			out = append(out, p.refuse(now, e, dispatch.PastDeadline, "its deadline passed between attempts"))
+		default:
+			p.enqueue(now, e, pl.due(e))
+		}
+	}
+	return out
+}
+
+// hold keeps aside or refuses a request that is suspected of crashing servers. It reports
+// whether it did.
+func (p *Policy) hold(now time.Time, e *entry) ([]dispatch.Effect, bool) {
+	if e.over != "" {
+		return nil, false
+	}
+	switch p.suspect.Verdict(now, e.req.Fingerprint) {
+	case suspect.Held:
+		e.reason, e.over = dispatch.CrashSuspect, "it crashed several servers"
+		return p.give(now, e), true
+	case suspect.Isolate:
+		e.isolate = true
+		if after := p.suspect.RunAfter(now, e.req.Fingerprint); now.Before(after) {
+			p.delay(e, after)
+			return nil, true
+		}
+	default:
+		e.isolate = false
+	}
+	return nil, false
+}
+
+// give refuses a request that is over, after the other hosts have learned of a mark against it.
+func (p *Policy) give(now time.Time, e *entry) []dispatch.Effect {
+	if after := p.suspect.RefuseAfter(e.req.Fingerprint); now.Before(after) {
+		p.delay(e, after)
+		return nil
+	}
+	return []dispatch.Effect{p.refuse(now, e, e.reason, e.over)}
+}
+
+// chooseApart picks a server that runs no other suspected request.
+func (p *Policy) chooseApart(now time.Time, e *entry) (name, why string, ok bool) {
+	exclude := append([]string(nil), e.exclude...)
+	for range apartTries {
+		name, why, ok = p.chooser.Choose(now, e.req, exclude)
+		if !ok {
+			return "", "", false
+		}
+		if _, taken := p.isolated[name]; !taken && p.suspect.Allowed(e.req.Fingerprint, name) {
+			return name, "apart, for it may crash its server; " + why, true
+		}
+		exclude = append(exclude, name)
+	}
+	return "", "", false
+}
--- a/internal/traffic/scheduler/entry.go
+++ b/internal/traffic/scheduler/entry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/queue"
 	"shallotramp/internal/traffic/request"
 )
@@ -12,15 +13,19 @@
 	req  *request.Request
 	pool *pool
 	item *queue.Item
-	// starts counts attempts, and tries those that count against the route's attempts.
-	starts, tries int
+	// starts counts attempts.
+	starts int
 	// server is set while an attempt runs.
 	server  string
 	started time.Time
 	ran     request.Ran
 	exclude []string
-	// notBefore is when a delayed retry may start.
+	// notBefore is when a delayed request may start, or is refused with reason when over tells why.
 	notBefore time.Time
+	over      string
+	reason    dispatch.RefusalReason
+	// isolate keeps a request that may crash its server from others like it.
+	isolate bool
 	// charged is the work that the organisation was charged for the running attempt.
 	charged float64
 	// generated counts the tokens of the running attempt, and before those of earlier ones.
--- a/internal/traffic/scheduler/measure_test.go
+++ b/internal/traffic/scheduler/measure_test.go
@@ -19,10 +19,10 @@
 	return deployment{
 		name: "threadwell", zones: 3, servers: 10, hosts: 6, offers: offers,
 		work: []workload{
-			{object.ClassSpec{Name: "slot", Tier: 1, FirstToken: seconds(0.8), BetweenTokens: seconds(0.076), Deadline: seconds(30), Floor: 0.1}, 0.4, 200, 100},
-			{object.ClassSpec{Name: "chat", Tier: 2, FirstToken: seconds(2), BetweenTokens: seconds(0.1), Deadline: seconds(60), Floor: 0.1}, 0.5, 400, 200},
-			{object.ClassSpec{Name: "briefing", Tier: 3, FirstToken: seconds(5), BetweenTokens: seconds(0.2), Deadline: seconds(300), Floor: 0.1, Preemptible: true}, 0.7, 2000, 400},
-			{object.ClassSpec{Name: "digest", Tier: 4, FirstToken: seconds(20), Deadline: seconds(600), Floor: 0.05, Preemptible: true}, 0.4, 2000, 400},
+			{object.ClassSpec{Name: "slot", Tier: 1, FirstToken: seconds(0.8), BetweenTokens: seconds(0.076), Deadline: seconds(30), Reclaimable: true, Floor: 0.1}, 0.4, 200, 100},
+			{object.ClassSpec{Name: "chat", Tier: 2, FirstToken: seconds(2), BetweenTokens: seconds(0.1), Deadline: seconds(60), Reclaimable: true, Floor: 0.1}, 0.5, 400, 200},
+			{object.ClassSpec{Name: "briefing", Tier: 3, FirstToken: seconds(5), BetweenTokens: seconds(0.2), Deadline: seconds(300), Reclaimable: true, Floor: 0.1, Preemptible: true}, 0.7, 2000, 400},
+			{object.ClassSpec{Name: "digest", Tier: 4, FirstToken: seconds(20), Deadline: seconds(600), Reclaimable: true, Floor: 0.05, Preemptible: true}, 0.4, 2000, 400},
 		},
 	}
 }
@@ -31,16 +31,16 @@
 	return deployment{
 		name: "zhaiyk", zones: 4, servers: 12, hosts: 7, offers: offers,
 		work: []workload{
-			{object.ClassSpec{Name: "clerk", Tier: 1, FirstToken: seconds(0.8), BetweenTokens: seconds(0.076), Deadline: seconds(30), Floor: 0.1}, 0.5, 200, 100},
-			{object.ClassSpec{Name: "enquiry", Tier: 2, FirstToken: seconds(2), BetweenTokens: seconds(0.1), Deadline: seconds(60), Floor: 0.1}, 0.6, 400, 200},
-			{object.ClassSpec{Name: "review", Tier: 3, FirstToken: seconds(10), BetweenTokens: seconds(0.2), Deadline: seconds(300), Floor: 0.1, Preemptible: true}, 0.9, 3000, 500},
+			{object.ClassSpec{Name: "clerk", Tier: 1, FirstToken: seconds(0.8), BetweenTokens: seconds(0.076), Deadline: seconds(30), Reclaimable: true, Floor: 0.1}, 0.5, 200, 100},
+			{object.ClassSpec{Name: "enquiry", Tier: 2, FirstToken: seconds(2), BetweenTokens: seconds(0.1), Deadline: seconds(60), Reclaimable: true, Floor: 0.1}, 0.6, 400, 200},
+			{object.ClassSpec{Name: "review", Tier: 3, FirstToken: seconds(10), BetweenTokens: seconds(0.2), Deadline: seconds(300), Reclaimable: true, Floor: 0.1, Preemptible: true}, 0.9, 3000, 500},
 		},
 	}
 }
 
-func ours(i int) dispatch.Policy { return New(uint64(i)) }
+func ours(i int, zone string) dispatch.Policy { return New(uint64(i), WithZone(zone)) }
 
-func naive(int) dispatch.Policy { return baseline.New() }
+func naive(int, string) dispatch.Policy { return baseline.New() }
 
 func TestTrial(t *testing.T) {
 	for _, d := range []deployment{threadwell(), zhaiyk()} {
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -15,6 +15,7 @@
 // Peer implements [dispatch.Policy].
 func (p *Policy) Peer(now time.Time, h dispatch.HostState) []dispatch.Effect {
 	p.chooser.Peer(now, h)
+	p.suspect.MergeFrom(now, h.Host, h.Marked)
 	q, ok := p.peers[h.Host]
 	if !ok {
 		q = &peer{served: map[string]map[string]int64{}}
@@ -88,7 +89,7 @@
 	out := dispatch.HostState{
 		At: now, Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{},
 		Outstanding: p.chooser.Outstanding(), Pools: map[string]dispatch.PoolState{},
-		Served: p.served.recent(now), Used: p.served.used(now),
+		Served: p.served.recent(now), Used: p.served.used(now), Marked: p.suspect.Marks(),
 	}
 	for name, pl := range p.pools {
 		s := pl.state()
--- a/internal/traffic/scheduler/preempt.go
+++ b/internal/traffic/scheduler/preempt.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"shallotramp/internal/traffic/dispatch"
-	"shallotramp/internal/traffic/request"
 )
 
 // preemptShare bounds the work that preemption wastes, as a share of all work.
@@ -52,13 +51,3 @@
 	}
 	return out
 }
-
-// resume puts preempted work back in the queue.
-func (p *Policy) resume(now time.Time, e *entry, r request.Result) []dispatch.Effect {
-	e.tries--
-	if r.Delivered > 0 && !r.Resumable {
-		return []dispatch.Effect{p.refuse(now, e, dispatch.Exhausted, "preempted and cannot be resumed")}
-	}
-	p.enqueue(now, e, e.pool.due(e))
-	return nil
-}
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -13,9 +13,12 @@
 	"time"
 
 	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/traffic/balance"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/queue"
 	"shallotramp/internal/traffic/request"
+	"shallotramp/internal/traffic/retry"
+	"shallotramp/internal/traffic/suspect"
 )
 
 const (
@@ -29,16 +32,20 @@
 
 // Policy decides. It implements [dispatch.Policy].
 type Policy struct {
+	zone    string
 	snap    *release.Snapshot
 	rnd     *rand.Rand
 	chooser Chooser
-	retry   Retrier
-	pools   map[string]*pool
-	entries map[request.ID]*entry
-	server  map[string]*pool
-	peers   map[string]*peer
-	served  *ledger
-	waiting int
+	retry   *retry.Policy
+	suspect *suspect.Tracker
+	// isolated names the suspected request that each server runs.
+	isolated map[string]request.ID
+	pools    map[string]*pool
+	entries  map[request.ID]*entry
+	server   map[string]*pool
+	peers    map[string]*peer
+	served   *ledger
+	waiting  int
 }
 
 var _ dispatch.Policy = (*Policy)(nil)
@@ -49,24 +56,28 @@
 // WithChooser replaces the choice of server.
 func WithChooser(c Chooser) Option { return func(p *Policy) { p.chooser = c } }
 
-// WithRetrier replaces the decision on retries.
-func WithRetrier(r Retrier) Option { return func(p *Policy) { p.retry = r } }
+// WithZone sets the host's availability zone, whose servers are nearest.
+func WithZone(zone string) Option { return func(p *Policy) { p.zone = zone } }
 
 // New returns a Policy without a configuration. Equal seeds and events give equal effects.
 func New(seed uint64, opts ...Option) *Policy {
 	p := &Policy{
-		rnd:     rand.New(rand.NewPCG(seed, 0)),
-		chooser: newLeastOutstanding(seed),
-		retry:   elsewhere{},
-		pools:   map[string]*pool{},
-		entries: map[request.ID]*entry{},
-		server:  map[string]*pool{},
-		peers:   map[string]*peer{},
-		served:  newLedger(),
+		rnd:      rand.New(rand.NewPCG(seed, 0)),
+		retry:    retry.New(seed),
+		suspect:  suspect.New(),
+		isolated: map[string]request.ID{},
+		pools:    map[string]*pool{},
+		entries:  map[request.ID]*entry{},
+		server:   map[string]*pool{},
+		peers:    map[string]*peer{},
+		served:   newLedger(),
 	}
 	for _, o := range opts {
 		o(p)
 	}
+	if p.chooser == nil {
+		p.chooser = balance.New(p.zone, seed)
+	}
 	return p
 }
 
@@ -74,6 +85,7 @@
 func (p *Policy) Configure(now time.Time, s *release.Snapshot) []dispatch.Effect {
 	p.snap = s
 	p.chooser.Configure(now, s)
+	p.retry.Configure(s)
 	weights := map[string]float64{}
 	for name, o := range s.Set.Organisations {
 		weights[name] = o.Weight
@@ -144,6 +156,9 @@
 		return []dispatch.Effect{p.refuse(now, e, dispatch.NoServer, "no server of the pool is configured")}
 	}
 	e.pool = p.pools[r.Pool]
+	if out, ok := p.hold(now, e); ok {
+		return out
+	}
 	if !p.feasible(now, e) {
 		return []dispatch.Effect{p.refuse(now, e, dispatch.PastDeadline, "cannot start before its deadline")}
 	}
@@ -268,6 +283,9 @@
 
 // choose asks for a server, at first without those that failed the request before.
 func (p *Policy) choose(now time.Time, e *entry) (name, why string, ok bool) {
+	if e.isolate {
+		return p.chooseApart(now, e)
+	}
 	if name, why, ok = p.chooser.Choose(now, e.req, e.exclude); ok || len(e.exclude) == 0 {
 		return name, why, ok
 	}
@@ -287,12 +305,15 @@
 func (p *Policy) run(now time.Time, e *entry, server, why string) dispatch.Effect {
 	e.server, e.started = server, now
 	e.starts++
-	e.tries++
 	e.generated = 0
 	e.charged = e.item.Cost
 	p.charge(now, e, e.charged)
 	e.pool.q.Started(now, e.req.Class)
 	p.chooser.Started(now, e.req, server)
+	p.suspect.Started(now, e.req.Fingerprint, e.req.ID, server)
+	if e.isolate {
+		p.isolated[server] = e.req.ID
+	}
 	p.offerVictim(e)
 	return dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: server, Attempt: e.starts, Why: why}
 }
@@ -306,7 +327,7 @@
 func (p *Policy) refuse(now time.Time, e *entry, reason dispatch.RefusalReason, why string) dispatch.Effect {
 	p.unqueue(now, e)
 	p.undelay(e)
-	delete(p.entries, e.req.ID)
+	p.forget(e)
 	out := dispatch.Effect{Kind: dispatch.Refuse, ID: e.req.ID, Reason: reason, RetryAfter: leastRetry, Ran: e.ran, Why: why}
 	if e.pool != nil && reason != dispatch.KeyWithdrawn {
 		out.RetryAfter = e.pool.retryAfter(e.req.Class, p.slots(e.pool), p.rnd.Float64())
@@ -322,13 +343,19 @@
 	}
 	p.unqueue(now, e)
 	p.undelay(e)
-	delete(p.entries, id)
+	p.forget(e)
 	if e.pool == nil {
 		return nil
 	}
 	return p.settle(now, e.pool)
 }
 
+// forget drops a request that is over.
+func (p *Policy) forget(e *entry) {
+	delete(p.entries, e.req.ID)
+	p.retry.Forget(e.req.ID)
+}
+
 func (p *Policy) undelay(e *entry) {
 	if e.delayPlace >= 0 {
 		e.pool.delayed.Remove(e.delayPlace)
@@ -363,15 +390,18 @@
 	}
 	pl := e.pool
 	p.chooser.Finished(now, e.req, r)
+	p.suspect.Finished(now, r.ID, r)
+	if p.isolated[e.server] == r.ID {
+		delete(p.isolated, e.server)
+	}
+	d := p.retry.Decide(now, e.req, e.starts, r)
 	p.ended(now, e, r)
 	var out []dispatch.Effect
 	switch r.Outcome {
 	case request.Completed, request.Cancelled:
-		delete(p.entries, r.ID)
-	case request.Preempted:
-		out = p.resume(now, e, r)
+		p.forget(e)
 	default:
-		out = p.again(now, e, r)
+		out = p.again(now, e, r, d)
 	}
 	return append(out, p.settle(now, pl)...)
 }
@@ -413,16 +443,15 @@
 }
 
 // again tries an attempt that failed once more, or refuses the request.
-func (p *Policy) again(now time.Time, e *entry, r request.Result) []dispatch.Effect {
-	d := p.retry.Decide(now, e.req, e.tries, r)
+func (p *Policy) again(now time.Time, e *entry, r request.Result, d retry.Decision) []dispatch.Effect {
+	e.ran = max(e.ran, d.Ran)
 	if !d.Again {
-		e.ran = max(e.ran, d.Ran)
-		return []dispatch.Effect{p.refuse(now, e, d.Reason, "no further try after "+r.Outcome.String())}
+		e.reason, e.over = d.Reason, "no further try after "+r.Outcome.String()
+		return p.give(now, e)
 	}
 	e.exclude = d.Exclude
-	e.notBefore = now.Add(d.After)
-	e.pool.delayed.Push(e)
-	return nil
+	p.delay(e, now.Add(d.After))
+	return p.release(now, e.pool)
 }
 
 // Report implements [dispatch.Policy].
@@ -454,10 +483,7 @@
 func (p *Policy) drainAll(now time.Time) []dispatch.Effect {
 	var out []dispatch.Effect
 	for _, pl := range p.byName() {
-		for pl.delayed.Len() > 0 && !now.Before(pl.delayed.Peek().notBefore) {
-			e := pl.delayed.Pop()
-			p.enqueue(now, e, pl.due(e))
-		}
+		out = append(out, p.release(now, pl)...)
 		for _, it := range pl.q.Pass(now) {
 			p.waiting--
 			out = append(out, p.refuse(now, p.entries[it.Request.ID], dispatch.PastDeadline, "its deadline passed before it could start"))
--- a/internal/traffic/scheduler/sim_test.go
+++ b/internal/traffic/scheduler/sim_test.go
@@ -89,6 +89,7 @@
 
 type simHost struct {
 	name   string
+	zone   string
 	policy dispatch.Policy
 }
 
@@ -115,7 +116,7 @@
 	preempts       int
 }
 
-func newSim(d deployment, f faults, length time.Duration, seed uint64, policy func(i int) dispatch.Policy) *sim {
+func newSim(d deployment, f faults, length time.Duration, seed uint64, policy func(i int, zone string) dispatch.Policy) *sim {
 	s := &sim{
 		d: d, f: f, now: simStart, end: simStart.Add(length), rnd: rand.New(rand.NewPCG(seed, 1)),
 		events: queue.NewHeap(func(a, b simEvent) bool {
@@ -129,7 +130,8 @@
 	}
 	s.configure()
 	for i := range d.hosts {
-		h := &simHost{name: fmt.Sprintf("host-%d", i), policy: policy(i)}
+		zone := fmt.Sprintf("zone-%d", i%d.zones)
+		h := &simHost{name: fmt.Sprintf("host-%d", i), zone: zone, policy: policy(i, zone)}
 		s.hosts = append(s.hosts, h)
 		s.carry(h, h.policy.Configure(s.now, s.snap))
 	}
@@ -212,7 +214,7 @@
 
 func (s *sim) exchange(h *simHost) {
 	st := h.policy.State(s.now)
-	st.Host, st.Zone, st.At = h.name, "zone-0", s.now
+	st.Host, st.Zone, st.At = h.name, h.zone, s.now
 	for _, o := range s.hosts {
 		if o != h {
 			s.at(simDelay, func() { s.carry(o, o.policy.Peer(s.now, st)) })
