host: links with other hosts

Cause: hosts are to take releases from each other. With certificates in the settings a host listens for others, registers, campaigns for its zone's relay lease while it is the lowest live host, and follows the platform only as the relay; without them it follows the platform by itself as before. It is ready only with the newest release that it can know of. Events and the view of the fleet are pages of the operators' listener.

Conclusion: TestFleetOfHosts withdraws a key on three hosts, of which one has lost the platform.

--- /dev/null
+++ b/internal/entry/host/fleet_test.go
@@ -0,0 +1,166 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/fleet/link"
+	"shallotramp/internal/fleet/link/testcert"
+	"shallotramp/internal/platform/fake"
+)
+
+const sample = `
+Kind: Organisation
+Name: river
+---
+Kind: Class
+Name: chat
+Tier: 1
+---
+Kind: Pool
+Name: models
+Protocol: Engine
+Models: [m]
+Concurrency: 4
+---
+Kind: BackendServer
+Name: engine-1
+Pool: models
+Zone: mid-a
+Address: 127.0.0.1:9
+---
+Kind: Route
+Name: m
+Model: m
+Pool: models
+Classes: [chat]
+Idempotent: true
+`
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+func publish(t *testing.T, st *fake.Store, base uint64, keys ...string) {
+	t.Helper()
+	set := object.NewSet()
+	if errs := object.Read(set, "test", strings.NewReader(sample)); len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	for i, k := range keys {
+		name := fmt.Sprintf("river-%d", i)
+		set.Keys[name] = &object.KeySpec{Name: name, Organisation: "river", Digest: object.DigestOf(k)}
+	}
+	if _, err := release.Publish(context.Background(), st, release.Change{Base: base, Set: set, Author: "test"}, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// run starts a host that stops with the test.
+func run(t *testing.T, st *fake.Store, name, zone string, src link.Source, seeds ...netip.AddrPort) *Host {
+	t.Helper()
+	h, err := New(Config{
+		Name: name, Zone: zone, Callers: loopback, Operators: loopback, DrainTimeout: time.Second,
+		Fleet: Fleet{Listen: loopback, Material: src, Seeds: seeds},
+	}, st, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return h
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+func status(t *testing.T, h *Host, key string) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, h.CallersURL()+"/v1/models", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	return res.StatusCode
+}
+
+func TestFleetOfHosts(t *testing.T) {
+	convey.Convey("Hosts with links take releases from each other, also those that have lost the platform", t, func() {
+		ca, err := testcert.NewAuthority()
+		convey.So(err, convey.ShouldBeNil)
+		material := func(name string) link.Source {
+			m, err := ca.Host(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return m
+		}
+		st, lost := fake.NewStore(), fake.NewStore()
+		lost.SetFaults(fake.Faults{Down: true})
+		publish(t, st, 0, "first", "second")
+		a := run(t, st, "host-1", "mid-a", material("host-1"))
+		b := run(t, st, "host-2", "mid-b", material("host-2"))
+		c := run(t, lost, "host-3", "mid-a", material("host-3"), a.node.Address())
+		hosts := []*Host{a, b, c}
+		eventually(t, "all are ready", func() bool { return a.Status().Ready && b.Status().Ready && c.Status().Ready })
+		for _, h := range hosts {
+			convey.So(status(t, h, "second"), convey.ShouldEqual, http.StatusOK)
+		}
+		eventually(t, "the relay holds its lease", func() bool { return a.node.View().Leased })
+
+		publish(t, st, 1, "first")
+		for _, h := range hosts {
+			eventually(t, "the key is withdrawn", func() bool { return status(t, h, "second") == http.StatusUnauthorized })
+			convey.So(status(t, h, "first"), convey.ShouldEqual, http.StatusOK)
+		}
+		res, err := http.Get(a.OperatorsURL() + "/events")
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(res.StatusCode, convey.ShouldEqual, http.StatusOK)
+		convey.So(res.Body.Close(), convey.ShouldBeNil)
+	})
+}
+
+func TestFleetSettings(t *testing.T) {
+	cases := map[string]Fleet{
+		"a certificate without its key":        {Listen: loopback, CertFile: "cert.pem", CAFile: "ca.pem"},
+		"files that do not exist":              {Listen: loopback, CertFile: "cert.pem", KeyFile: "key.pem", CAFile: "ca.pem"},
+		"an unspecified address and no advice": {Listen: netip.MustParseAddrPort("0.0.0.0:0"), Material: &link.Material{}},
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := New(Config{Name: "host-1", Zone: "mid-a", Callers: loopback, Operators: loopback, Fleet: f}, fake.NewStore(), zerolog.Nop())
+			var settings *FleetError
+			var files *link.FilesError
+			if !errors.As(err, &settings) && !errors.As(err, &files) {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -18,6 +18,9 @@
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/entry/console"
 	"shallotramp/internal/entry/gateway"
+	"shallotramp/internal/fleet/lease"
+	"shallotramp/internal/fleet/relay"
+	"shallotramp/internal/ops/event"
 	"shallotramp/internal/ops/explain"
 	"shallotramp/internal/platform/store"
 	"shallotramp/internal/traffic/dispatch"
@@ -36,11 +39,15 @@
 	DrainDelay   time.Duration
 	DrainTimeout time.Duration
 	Limits       gateway.Limits
+	Fleet        Fleet
 }
 
 // enforceInterval is how often open requests are checked against the release in force.
 const enforceInterval = time.Second
 
+// eventsKept bounds the events that a host remembers.
+const eventsKept = 500
+
 // Host is one entry host. Create it with [New] and start it with [Host.Run].
 type Host struct {
 	cfg      Config
@@ -55,6 +62,10 @@
 	draining atomic.Bool
 	callers  net.Listener
 	console  net.Listener
+	events   *event.Log
+	// node and leases are nil without links to other hosts.
+	node   *relay.Node
+	leases *lease.Manager
 }
 
 // New returns a Host that listens at once, so that its addresses are known, and serves when run.
@@ -62,6 +73,7 @@
 	h := &Host{
 		cfg: cfg, log: log, store: st, holder: &release.Holder{},
 		meter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(),
+		events: event.New(eventsKept),
 	}
 	h.loop = dispatch.NewLoop(scheduler.New(rand.Uint64()))
 	h.gateway = gateway.New(cfg.Zone, h.holder, h.loop, gateway.WithLog(log), gateway.WithMetrics(h.metrics),
@@ -74,6 +86,11 @@
 		_ = h.callers.Close()
 		return nil, errors.Wrap(err, "the operators' listener cannot start; free the address or set --operators")
 	}
+	if err := h.join(st); err != nil {
+		_ = h.callers.Close()
+		_ = h.console.Close()
+		return nil, err
+	}
 	return h, nil
 }
 
@@ -87,7 +104,12 @@
 func (h *Host) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	parts := []func(context.Context, chan<- error){h.loop.Run, h.follower().Run, h.enforce}
+	parts := []func(context.Context, chan<- error){h.loop.Run, h.enforce}
+	if h.node != nil {
+		parts = append(parts, h.node.Run, h.leases.Run)
+	} else {
+		parts = append(parts, h.follower().Run)
+	}
 	done := make(chan error, len(parts))
 	for _, run := range parts {
 		go run(work, done)
@@ -164,7 +186,7 @@
 }
 
 func (h *Host) consoleHandler() http.Handler {
-	c := &console.Console{Status: h.Status, Book: h.book, Metrics: h.metrics}
+	c := &console.Console{Status: h.Status, Book: h.book, Metrics: h.metrics, Extra: h.fleetPages()}
 	return c.Handler()
 }
 
@@ -176,7 +198,7 @@
 	}
 	if snap := h.holder.Current(); snap != nil {
 		s.Release, s.Digest = snap.Number, snap.Digest
-		s.Ready = !s.Draining
+		s.Ready = !s.Draining && h.ready()
 	}
 	return s
 }
