--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -12,17 +12,25 @@
 
 // ServeCommand runs an entry host.
 type ServeCommand struct {
-	Name         string         `help:"Name of the host; the machine's name if empty." env:"SHALLOTRAMP_NAME"`
-	Zone         string         `help:"Availability zone of the host." required:"" env:"SHALLOTRAMP_ZONE"`
-	Callers      netip.AddrPort `help:"Address of the callers' listener." default:"0.0.0.0:8080" env:"SHALLOTRAMP_CALLERS"`
-	Operators    netip.AddrPort `help:"Address of the operators' listener." default:"127.0.0.1:8081" env:"SHALLOTRAMP_OPERATORS"`
-	Platform     string         `help:"Base URL of the platform's object API." required:"" env:"SHALLOTRAMP_PLATFORM"`
-	DrainDelay   time.Duration  `help:"Time between readiness off and the end of new requests at a planned stop." default:"5s" env:"SHALLOTRAMP_DRAIN_DELAY"`
-	DrainTimeout time.Duration  `help:"Longest wait for open requests at a planned stop." default:"10m" env:"SHALLOTRAMP_DRAIN_TIMEOUT"`
-	BodyLimit    int64          `help:"Largest body of a request, in bytes." default:"8388608" env:"SHALLOTRAMP_BODY_LIMIT"`
-	HeaderLimit  int            `help:"Largest header of a request, in bytes." default:"65536" env:"SHALLOTRAMP_HEADER_LIMIT"`
-	ReadTimeout  time.Duration  `help:"Longest time to read a request." default:"30s" env:"SHALLOTRAMP_READ_TIMEOUT"`
-	WriteTimeout time.Duration  `help:"Longest time of one write to a caller." default:"20s" env:"SHALLOTRAMP_WRITE_TIMEOUT"`
+	Name      string         `help:"Name of the host; the machine's name if empty." env:"SHALLOTRAMP_NAME"`
+	Zone      string         `help:"Availability zone of the host." required:"" env:"SHALLOTRAMP_ZONE"`
+	Callers   netip.AddrPort `help:"Address of the callers' listener." default:"0.0.0.0:8080" env:"SHALLOTRAMP_CALLERS"`
+	Operators netip.AddrPort `help:"Address of the operators' listener." default:"127.0.0.1:8081" env:"SHALLOTRAMP_OPERATORS"`
+	Platform  string         `help:"Base URL of the platform's object API." required:"" env:"SHALLOTRAMP_PLATFORM"`
+
+	FleetListen    netip.AddrPort   `help:"Address of the listener for other hosts." default:"0.0.0.0:7300" env:"SHALLOTRAMP_FLEET_LISTEN"`
+	FleetAdvertise netip.AddrPort   `help:"Address that other hosts are told; needed when the listener has none of its own." env:"SHALLOTRAMP_FLEET_ADVERTISE"`
+	FleetCert      string           `help:"PEM file with the certificate of the host's name; without certificates there are no links between hosts." type:"path" env:"SHALLOTRAMP_FLEET_CERT"`
+	FleetKey       string           `help:"PEM file with the certificate's key." type:"path" env:"SHALLOTRAMP_FLEET_KEY"`
+	FleetCA        string           `help:"PEM file with the authority of all hosts' certificates." type:"path" env:"SHALLOTRAMP_FLEET_CA"`
+	FleetSeeds     []netip.AddrPort `help:"Hosts to ask for others when the platform's list cannot be read." env:"SHALLOTRAMP_FLEET_SEEDS"`
+
+	DrainDelay   time.Duration `help:"Time between readiness off and the end of new requests at a planned stop." default:"5s" env:"SHALLOTRAMP_DRAIN_DELAY"`
+	DrainTimeout time.Duration `help:"Longest wait for open requests at a planned stop." default:"10m" env:"SHALLOTRAMP_DRAIN_TIMEOUT"`
+	BodyLimit    int64         `help:"Largest body of a request, in bytes." default:"8388608" env:"SHALLOTRAMP_BODY_LIMIT"`
+	HeaderLimit  int           `help:"Largest header of a request, in bytes." default:"65536" env:"SHALLOTRAMP_HEADER_LIMIT"`
+	ReadTimeout  time.Duration `help:"Longest time to read a request." default:"30s" env:"SHALLOTRAMP_READ_TIMEOUT"`
+	WriteTimeout time.Duration `help:"Longest time of one write to a caller." default:"20s" env:"SHALLOTRAMP_WRITE_TIMEOUT"`
 }
 
 // Run implements the command.
@@ -38,6 +46,9 @@
 		Name: name, Zone: c.Zone, Callers: c.Callers, Operators: c.Operators,
 		DrainDelay: c.DrainDelay, DrainTimeout: c.DrainTimeout,
 		Limits: gateway.Limits{BodyBytes: c.BodyLimit, HeaderBytes: c.HeaderLimit, ReadTime: c.ReadTimeout, WriteStall: c.WriteTimeout},
+		Fleet: host.Fleet{
+			Listen: c.FleetListen, Advertise: c.FleetAdvertise, CertFile: c.FleetCert, KeyFile: c.FleetKey, CAFile: c.FleetCA, Seeds: c.FleetSeeds,
+		},
 	}, store.NewClient(c.Platform), g.logger())
 	if err != nil {
 		return err
