demo: three hosts with links among them

Hosts now take releases from each other, with certificates made in memory, and the scheduler knows its zone.

--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -75,7 +75,7 @@
 		meter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(),
 		events: event.New(eventsKept),
 	}
-	h.loop = dispatch.NewLoop(scheduler.New(rand.Uint64()))
+	h.loop = dispatch.NewLoop(scheduler.New(rand.Uint64(), scheduler.WithZone(cfg.Zone)))
 	h.gateway = gateway.New(cfg.Zone, h.holder, h.loop, gateway.WithLog(log), gateway.WithMetrics(h.metrics),
 		gateway.WithBook(h.book), gateway.WithCounter(h.meter), gateway.WithLimits(cfg.Limits))
 	var err error
--- a/internal/trial/demo/demo.go
+++ b/internal/trial/demo/demo.go
@@ -21,6 +21,7 @@
 	"shallotramp/internal/catalog/release"
 	enginefake "shallotramp/internal/engine/fake"
 	"shallotramp/internal/entry/host"
+	"shallotramp/internal/fleet/link/testcert"
 	platformfake "shallotramp/internal/platform/fake"
 	"shallotramp/internal/platform/store"
 )
@@ -60,9 +61,11 @@
 	services map[string]*enginefake.Service
 	hosts    []*host.Host
 	servers  []*http.Server
-	cancel   context.CancelFunc
-	ended    chan error
-	next     netip.AddrPort
+	// authority signs the certificates of the hosts.
+	authority *testcert.Authority
+	cancel    context.CancelFunc
+	ended     chan error
+	next      netip.AddrPort
 }
 
 // Start brings the deployment up. The first callers' listener takes listen, the others
@@ -100,6 +103,9 @@
 	if _, err := release.Publish(ctx, client, change, time.Now().UTC()); err != nil {
 		return err
 	}
+	if d.authority, err = testcert.NewAuthority(); err != nil {
+		return err
+	}
 	for i, zone := range hostZones {
 		if err := d.startHost(ctx, i, zone, callers[i]); err != nil {
 			return err
@@ -169,9 +175,14 @@
 }
 
 func (d *Demo) startHost(ctx context.Context, i int, zone string, callers netip.AddrPort) error {
+	certificate, err := d.authority.Host(hostName(i))
+	if err != nil {
+		return err
+	}
 	h, err := host.New(host.Config{
 		Name: hostName(i), Zone: zone, Callers: callers, Operators: d.address(),
 		DrainDelay: drainDelay, DrainTimeout: drainTimeout,
+		Fleet: host.Fleet{Listen: d.address(), Material: certificate},
 	}, store.NewClient(d.Addresses.Platform), d.log.With().Str("Host", hostName(i)).Logger())
 	if err != nil {
 		return err
