--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -115,6 +115,7 @@
 		go run(work, done)
 	}
 	callers := h.gateway.Server()
+	callers.Handler = h.closing(callers.Handler)
 	operators := &http.Server{Handler: h.consoleHandler(), ReadHeaderTimeout: 10 * time.Second}
 	served := make(chan error, 2)
 	go serve(callers, h.callers, served)
@@ -146,6 +147,17 @@
 	served <- err
 }
 
+// closing ends a caller's connection with its answer while the host drains, so that few idle
+// connections are left when the listener closes: a request that crosses their end would be lost.
+func (h *Host) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // drain stops taking new work and waits for the open requests.
 func (h *Host) drain(callers *http.Server) error {
 	h.draining.Store(true)
