acceptance: where a release is in force, and when it is accepted

Cause: a withdrawn key may be reported as withdrawn only when it works nowhere. The head's conditional update commits; relays write a ZoneStatus with the hosts that acknowledged, on change at most once a second and every 30 s; the verdict takes a zone as done when each host of the platform's list and of the relay's acknowledged, or when the longest CutOffGrace since the commit has run out: no host without the release can have confirmed an earlier one after the commit.

Ruled out: trusting the confirmation that a cut-off zone last reported (it only shortens the wait and depends on clocks); a status by the lowest release alone (a host that the relay never heard would be missed). Conclusion: under each partition of TestPartitions no host served keyed work of an earlier release when the release was accepted.

--- a/internal/fleet/relay/carry.go
+++ b/internal/fleet/relay/carry.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"encoding/json"
 	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/fleet/acceptance"
+	"shallotramp/internal/platform/store"
 )
 
 // maxChunkBytes bounds one chunk after decompression.
@@ -36,6 +40,8 @@
 			n.calls.Go(func() { n.read(ctx) })
 		case Adopt:
 			n.calls.Go(func() { n.adopt(e) })
+		case WriteStatus:
+			n.calls.Go(func() { n.writeStatus(ctx, e.Status) })
 		case Confirm:
 			n.cfg.Holder.Confirm(e.Number, e.At)
 		case Note:
@@ -84,7 +90,54 @@
 	if n.cfg.Adopted != nil {
 		n.cfg.Adopted(s)
 	}
-	n.post(func(now time.Time) []Effect { return n.core.Local(now, s.Number, n.cfg.Holder.Confirmed()) })
+	grace := longestGrace(s)
+	n.post(func(now time.Time) []Effect {
+		n.core.SetGrace(grace)
+		return n.core.Local(now, s.Number, n.cfg.Holder.Confirmed())
+	})
+}
+
+// longestGrace returns the longest CutOffGrace of an organisation.
+func longestGrace(s *release.Snapshot) time.Duration {
+	var out time.Duration
+	for _, o := range s.Set.Organisations {
+		out = max(out, o.CutOffGrace.Or(object.DefaultCutOffGrace))
+	}
+	return out
+}
+
+// writeStatus writes the status over the one that the platform has.
+func (n *Node) writeStatus(ctx context.Context, s acceptance.ZoneStatus) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := putStatus(ctx, n.cfg.Store, s)
+	n.post(func(now time.Time) []Effect {
+		n.core.Written(now, err)
+		return nil
+	})
+}
+
+func putStatus(ctx context.Context, st store.Store, s acceptance.ZoneStatus) error {
+	o, err := st.Get(ctx, acceptance.Kind, s.Zone)
+	missing := store.Failed(err, store.NotFound)
+	if err != nil && !missing {
+		return err
+	}
+	var old acceptance.ZoneStatus
+	if !missing && json.Unmarshal(o.Spec, &old) == nil {
+		s.Merge(&old)
+	}
+	spec, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	next := store.Object{Kind: acceptance.Kind, Name: s.Zone, Version: o.Version, Spec: spec}
+	if missing {
+		_, err = st.Create(ctx, next)
+	} else {
+		_, err = st.Update(ctx, next)
+	}
+	return err
 }
 
 // adopt verifies a release of another host and puts it in force.
--- a/internal/fleet/relay/core.go
+++ b/internal/fleet/relay/core.go
@@ -130,6 +130,9 @@
 
 	pull   *pull
 	served served
+
+	grace    time.Duration
+	reported reported
 }
 
 // New returns the Core of the host self, started at now. Seeds are addresses of hosts to dial while no other is known.
@@ -182,6 +185,7 @@
 	c.beats(now)
 	c.pulls(now)
 	c.platform(now)
+	c.status(now)
 	return c.take()
 }
 
--- a/internal/fleet/relay/core_test.go
+++ b/internal/fleet/relay/core_test.go
@@ -18,12 +18,17 @@
 		convey.So(s.acting(), convey.ShouldResemble, []string{"z00-h00", "z01-h00", "z02-h00", "z03-h00"})
 		convey.So(s.reached(1, nil), convey.ShouldBeTrue)
 		n := s.publish()
+		committed := s.now
 		convey.So(s.lag(n, 10*time.Second), convey.ShouldBeLessThan, 6*time.Second)
+		convey.So(s.verdict(committed).Accepted, convey.ShouldBeFalse)
+		s.run(3 * time.Second)
+		convey.So(s.verdict(committed).Accepted, convey.ShouldBeTrue)
 
 		convey.Convey("and only relays call the platform", func() {
-			s.calls = 0
+			s.reads, s.writes = 0, 0
 			s.run(time.Minute)
-			convey.So(s.calls, convey.ShouldBeLessThanOrEqualTo, 4*31)
+			convey.So(s.reads, convey.ShouldBeLessThanOrEqualTo, 4*31)
+			convey.So(s.writes, convey.ShouldBeLessThanOrEqualTo, 4*2*2)
 			for _, h := range s.hosts {
 				convey.So(h.age(), convey.ShouldBeLessThan, 4*time.Second)
 			}
--- a/internal/fleet/relay/node_test.go
+++ b/internal/fleet/relay/node_test.go
@@ -14,6 +14,7 @@
 
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/fleet/acceptance"
 	"shallotramp/internal/fleet/link/testcert"
 	"shallotramp/internal/fleet/member"
 	"shallotramp/internal/fleet/relay"
@@ -153,7 +154,7 @@
 }
 
 func TestNodesSpreadReleases(t *testing.T) {
-	convey.Convey("Given two zones of three hosts over loopback", t, func() {
+	convey.Convey("Two zones of three hosts over loopback spread releases", t, func() {
 		c := newCluster(t)
 		c.publish("first", "second")
 		for _, zone := range []string{"mid-a", "mid-b"} {
@@ -163,39 +164,41 @@
 		}
 		c.eventually("all hosts are linked with their zone", c.linked(2))
 		c.eventually("the first release is everywhere", c.everywhere(1))
+		c.eventually("one relay a zone", func() bool {
+			return c.nodes["mid-a-0"].View().Acting && c.nodes["mid-b-0"].View().Acting
+		})
+
+		// A host that starts with the platform down gets the release and its confirmation from its seed.
+		down := fake.NewStore()
+		down.SetFaults(fake.Faults{Down: true})
+		late := c.startWith("mid-a-9", "mid-a", down, c.nodes["mid-a-1"].Address())
+		c.eventually("it is ready", func() bool { return late.View().Ready })
+		convey.So(late.holder.Current().Number, convey.ShouldEqual, 1)
+		c.eventually("it is confirmed", func() bool { return !late.holder.Confirmed().IsZero() })
+
+		// A withdrawn key is unknown on each host, also on the one that has lost the platform.
+		n := c.publish("first")
+		c.eventually("the release is everywhere", c.everywhere(n))
+		for _, r := range c.nodes {
+			_, ok := r.holder.Current().KeyOf(object.DigestOf("second"), time.Now())
+			convey.So(ok, convey.ShouldBeFalse)
+		}
 
-		convey.Convey("a withdrawn key is unknown on each host, also on those that have lost the platform", func() {
-			c.eventually("one relay a zone", func() bool {
-				return c.nodes["mid-a-0"].View().Acting && c.nodes["mid-b-0"].View().Acting
-			})
-			n := c.publish("first")
-			c.eventually("the release is everywhere", c.everywhere(n))
-			for _, r := range c.nodes {
-				_, ok := r.holder.Current().KeyOf(object.DigestOf("second"), time.Now())
-				convey.So(ok, convey.ShouldBeFalse)
+		// A planned stop is told to the others and removes the object.
+		c.stop("mid-a-2")
+		c.eventually("the others know", func() bool {
+			for _, m := range c.nodes["mid-a-1"].View().Members {
+				if m.Name == "mid-a-2" {
+					return m.State == member.Left
+				}
 			}
+			return false
 		})
-		convey.Convey("a host that starts with the platform down gets the release from its seed", func() {
-			down := fake.NewStore()
-			down.SetFaults(fake.Faults{Down: true})
-			seed := c.nodes["mid-a-1"]
-			late := c.startWith("mid-a-9", "mid-a", down, seed.Address())
-			c.eventually("it is ready", func() bool { return late.View().Ready })
-			convey.So(late.holder.Current().Number, convey.ShouldEqual, 1)
-			c.eventually("it is confirmed", func() bool { return !late.holder.Confirmed().IsZero() })
-		})
-		convey.Convey("a planned stop is told to the others and removes the object", func() {
-			c.stop("mid-a-2")
-			c.eventually("the others know", func() bool {
-				for _, m := range c.nodes["mid-a-1"].View().Members {
-					if m.Name == "mid-a-2" {
-						return m.State == member.Left
-					}
-				}
-				return false
-			})
-			_, err := c.store.Get(context.Background(), relay.HostKind, "mid-a-2")
-			convey.So(store.Failed(err, store.NotFound), convey.ShouldBeTrue)
+		_, err := c.store.Get(context.Background(), relay.HostKind, "mid-a-2")
+		convey.So(store.Failed(err, store.NotFound), convey.ShouldBeTrue)
+		c.eventually("the zone's status is at the platform", func() bool {
+			_, err := c.store.Get(context.Background(), acceptance.Kind, "mid-b")
+			return err == nil
 		})
 	})
 }
--- a/internal/fleet/relay/partition_test.go
+++ b/internal/fleet/relay/partition_test.go
@@ -7,9 +7,37 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"shallotramp/internal/fleet/acceptance"
 	"shallotramp/internal/fleet/member"
 )
 
+// verdict judges the release on what the platform knows, with a grace of a minute.
+func (s *sim) verdict(committed time.Time) acceptance.Verdict {
+	in := acceptance.Input{Release: s.head.Number, Committed: committed, Grace: time.Minute, Hosts: map[string][]string{}}
+	for _, h := range s.list() {
+		in.Hosts[h.Zone] = append(in.Hosts[h.Zone], h.Name)
+	}
+	for _, z := range s.statuses {
+		in.Statuses = append(in.Statuses, z)
+	}
+	return acceptance.Judge(s.now, in)
+}
+
+// expires checks that a release that cannot reach a zone is accepted only when its hosts serve no keyed work.
+func (s *sim) expires(n uint64, committed time.Time) {
+	for !s.verdict(committed).Accepted && s.now.Sub(committed) < time.Hour {
+		s.run(100 * time.Millisecond)
+	}
+	for name, h := range s.hosts {
+		if h.release() < n && h.age() <= time.Minute {
+			s.t.Errorf("accepted while %s, confirmed %v ago, serves release %d", name, h.age(), h.release())
+		}
+	}
+	if s.now.Sub(committed) >= time.Hour {
+		s.t.Error("never accepted")
+	}
+}
+
 const (
 	simZones   = 4
 	simPerZone = 4
@@ -113,6 +141,7 @@
 			c.cut(s)
 			s.run(10 * time.Second)
 			n := s.publish()
+			committed := s.now
 			if lag := s.lag(n, 30*time.Second, c.reached...); lag >= inForce {
 				t.Errorf("in force in %v after %v", c.reached, lag)
 			}
@@ -128,6 +157,7 @@
 					t.Errorf("a release reached %s over the cut", z)
 				}
 			}
+			s.expires(n, committed)
 			s.heal()
 			if lag := s.lag(n, time.Minute); lag > maxDelay+readBackoff {
 				t.Errorf("in force everywhere %v after the cut", lag)
@@ -170,6 +200,7 @@
 			s.sever(z, "platform")
 		}
 		before := s.head.Number
+		s.tick = 5 * TickInterval
 		s.run(30 * time.Minute)
 		self := s.hosts["z00-h01"].self
 		s.stop("z00-h01")
--- a/internal/fleet/relay/sim_test.go
+++ b/internal/fleet/relay/sim_test.go
@@ -15,6 +15,7 @@
 
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/fleet/acceptance"
 	"shallotramp/internal/fleet/member"
 	"shallotramp/internal/fleet/wire"
 )
@@ -40,11 +41,16 @@
 	// cut holds the directed pairs of zones whose messages are held back; the zone "platform" is the platform's.
 	cut map[[2]string]bool
 	// slow is how long the platform takes for a call.
-	slow    time.Duration
+	slow time.Duration
+	// tick is how often cores tick; long runs take it slower.
+	tick    time.Duration
 	head    release.Entry
 	content map[string][]byte
-	calls   int
-	links   LinkID
+	// reads counts the reads of the head, writes the calls that write statuses.
+	reads, writes int
+	// statuses are the zones' statuses at the platform.
+	statuses map[string]acceptance.ZoneStatus
+	links    LinkID
 }
 
 type agenda []task
@@ -94,7 +100,7 @@
 }
 
 func newSim(t *testing.T, zones, perZone int) *sim {
-	s := &sim{t: t, now: simStart, rand: rand.New(rand.NewPCG(7, 11)), hosts: map[string]*simHost{}, cut: map[[2]string]bool{}, slow: simPlatform}
+	s := &sim{t: t, now: simStart, rand: rand.New(rand.NewPCG(7, 11)), hosts: map[string]*simHost{}, cut: map[[2]string]bool{}, slow: simPlatform, tick: TickInterval, statuses: map[string]acceptance.ZoneStatus{}}
 	for z := range zones {
 		for i := range perZone {
 			s.start(member.Host{
@@ -198,7 +204,7 @@
 	}
 	h.local()
 	h.apply(h.core.Tick(h.s.now, h.leased))
-	h.s.after(TickInterval, h.tick)
+	h.s.after(h.s.tick, h.tick)
 }
 
 func (h *simHost) local() {
@@ -214,7 +220,7 @@
 // read reads the platform's head; done, if any, learns how it went.
 func (h *simHost) read(done func(error)) {
 	s, asked := h.s, h.s.now
-	s.calls++
+	s.reads++
 	if s.blocked(h.self.Zone, "platform") || s.slow > simTimeout {
 		s.after(simTimeout, func() {
 			if done != nil {
@@ -274,12 +280,31 @@
 				continue
 			}
 			h.adopt(e.Entry, content)
+		case WriteStatus:
+			h.writeStatus(e.Status)
 		case Confirm:
 			h.holder.Confirm(e.Number, e.At)
 		}
 	}
 }
 
+// writeStatus merges the status into the one that the platform has.
+func (h *simHost) writeStatus(z acceptance.ZoneStatus) {
+	s := h.s
+	s.writes += 2
+	if s.blocked(h.self.Zone, "platform") || s.slow > simTimeout {
+		s.after(simTimeout, func() { h.core.Written(s.now, errors.New("the platform does not answer")) })
+		return
+	}
+	s.after(s.slow, func() {
+		if old, ok := s.statuses[z.Zone]; ok {
+			z.Merge(&old)
+		}
+		s.statuses[z.Zone] = z
+		h.core.Written(s.now, nil)
+	})
+}
+
 func (h *simHost) poll(run int) {
 	if h.follow != run || h.down {
 		return
