--- a/internal/command/cli/key.go
+++ b/internal/command/cli/key.go
@@ -62,6 +62,7 @@
 	PlatformFlags
 	Name   string `arg:"" help:"Name of the key object."`
 	Author string `help:"Who withdraws; the user's name if empty." env:"SHALLOTRAMP_AUTHOR"`
+	WaitFlags
 }
 
 // Run implements the command.
@@ -77,13 +78,17 @@
 		return err
 	}
 	if g.isJSON() {
-		return g.json(struct {
+		err = g.json(struct {
 			Name    string
 			Release uint64
 		}{c.Name, e.Number})
+	} else {
+		_, err = fmt.Fprintf(g.stdout, "release %d: key %s withdrawn; 'shallotramp status' shows which zones have it\n", e.Number, c.Name)
 	}
-	fmt.Fprintf(g.stdout, "release %d: key %s withdrawn; 'shallotramp status' shows which zones have it\n", e.Number, c.Name)
-	return nil
+	if err != nil {
+		return err
+	}
+	return c.wait(g, &c.PlatformFlags, e)
 }
 
 // amend publishes the release in force with a change. When another publication comes
--- a/internal/command/cli/publish.go
+++ b/internal/command/cli/publish.go
@@ -28,6 +28,18 @@
 	return ctx, cancel, store.NewClient(f.Platform)
 }
 
+// WaitFlags let a command wait until its release is accepted.
+type WaitFlags struct {
+	Wait time.Duration `help:"Wait this long at most until the release is accepted: in force wherever keyed work is served." env:"SHALLOTRAMP_WAIT"`
+}
+
+func (f *WaitFlags) wait(g *Globals, p *PlatformFlags, e release.Entry) error {
+	if f.Wait <= 0 {
+		return nil
+	}
+	return await(g, p, e, f.Wait)
+}
+
 // readFiles reads the objects of all files; "-" is standard input.
 func readFiles(files []string) (*object.Set, error) {
 	s := object.NewSet()
@@ -89,6 +101,7 @@
 	Base   *uint64  `help:"Release that the change was made on; the one in force if left out." env:"SHALLOTRAMP_BASE"`
 	Author string   `help:"Who publishes; the user's name if empty." env:"SHALLOTRAMP_AUTHOR"`
 	Note   string   `help:"Why." env:"SHALLOTRAMP_NOTE"`
+	WaitFlags
 }
 
 // Run implements the command.
@@ -114,10 +127,14 @@
 		return err
 	}
 	if g.isJSON() {
-		return g.json(e)
+		err = g.json(e)
+	} else {
+		_, err = fmt.Fprintf(g.stdout, "release %d published (%d chunks)\n", e.Number, len(e.Chunks))
 	}
-	fmt.Fprintf(g.stdout, "release %d published (%d chunks)\n", e.Number, len(e.Chunks))
-	return nil
+	if err != nil {
+		return err
+	}
+	return c.wait(g, &c.PlatformFlags, e)
 }
 
 func author(flag string) string {
--- /dev/null
+++ b/internal/command/cli/status.go
@@ -0,0 +1,156 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/entry/console"
+	"shallotramp/internal/fleet/acceptance"
+	"shallotramp/internal/fleet/relay"
+	"shallotramp/internal/platform/store"
+)
+
+// waitInterval is how often a waiting command reads the state of zones.
+const waitInterval = 500 * time.Millisecond
+
+// StatusCommand shows where the release in force stands.
+type StatusCommand struct {
+	PlatformFlags
+	Hosts []string `help:"Base URLs of hosts' operators' listeners, to ask them too." env:"SHALLOTRAMP_HOSTS"`
+}
+
+// HostAnswer is what one host told of itself.
+type HostAnswer struct {
+	URL    string
+	Error  string          `json:",omitempty"`
+	Status *console.Status `json:",omitempty"`
+}
+
+// Run implements the command.
+func (c *StatusCommand) Run(g *Globals) error {
+	ctx, cancel, st := c.open(g)
+	defer cancel()
+	v, err := verdict(ctx, st, time.Now())
+	if err != nil {
+		return err
+	}
+	var hosts []HostAnswer
+	for _, url := range c.Hosts {
+		a := HostAnswer{URL: url}
+		var s console.Status
+		if found, err := ask(ctx, url, "/status", &s); err != nil || !found {
+			a.Error = fmt.Sprint(err)
+		} else {
+			a.Status = &s
+		}
+		hosts = append(hosts, a)
+	}
+	if g.isJSON() {
+		return g.json(struct {
+			acceptance.Verdict
+			Hosts []HostAnswer `json:",omitempty"`
+		}{v, hosts})
+	}
+	printVerdict(g, v)
+	for _, h := range hosts {
+		if h.Status == nil {
+			fmt.Fprintf(g.stdout, "%-28s %s\n", h.URL, h.Error)
+			continue
+		}
+		s := h.Status
+		fmt.Fprintf(g.stdout, "%-28s %-12s zone %-10s release %-5d ready %-5t draining %-5t open %d\n", h.URL, s.Host, s.Zone, s.Release, s.Ready, s.Draining, s.Open)
+	}
+	return nil
+}
+
+func printVerdict(g *Globals, v acceptance.Verdict) {
+	state := "accepted: in force wherever keyed work is served"
+	if !v.Accepted {
+		state = "committed, not accepted yet; at the latest at " + v.By.UTC().Format(time.DateTime)
+	}
+	fmt.Fprintf(g.stdout, "release %d %s\n", v.Release, state)
+	for _, z := range v.Zones {
+		fmt.Fprintf(g.stdout, "%-14s %-8s release %-5d", z.Zone, z.State, z.Release)
+		if len(z.Missing) > 0 {
+			fmt.Fprintf(g.stdout, " missing %s", strings.Join(z.Missing, ", "))
+		}
+		if !z.Until.IsZero() {
+			fmt.Fprintf(g.stdout, " keyed work there ends by %s", z.Until.UTC().Format(time.DateTime))
+		}
+		fmt.Fprintln(g.stdout)
+	}
+}
+
+// verdict works out where the newest release stands.
+func verdict(ctx context.Context, st store.Store, now time.Time) (acceptance.Verdict, error) {
+	head, set, err := loadRelease(ctx, st, 0)
+	if err != nil {
+		return acceptance.Verdict{}, err
+	}
+	in := acceptance.Input{Release: head.Number, Committed: head.Time, Grace: longestGrace(set), Hosts: map[string][]string{}}
+	if head.Number > 1 {
+		// Hosts that do not have the newest release keep to the graces of the one before.
+		if _, before, err := loadRelease(ctx, st, head.Number-1); err == nil {
+			in.Grace = max(in.Grace, longestGrace(before))
+		}
+	}
+	hosts, err := listAs[relay.HostSpec](ctx, st, relay.HostKind)
+	if err != nil {
+		return acceptance.Verdict{}, err
+	}
+	for _, h := range hosts {
+		in.Hosts[h.Zone] = append(in.Hosts[h.Zone], h.Name)
+	}
+	if in.Statuses, err = listAs[acceptance.ZoneStatus](ctx, st, acceptance.Kind); err != nil {
+		return acceptance.Verdict{}, err
+	}
+	return acceptance.Judge(now, in), nil
+}
+
+func longestGrace(s *object.Set) time.Duration {
+	var out time.Duration
+	for _, o := range s.Organisations {
+		out = max(out, o.CutOffGrace.Or(object.DefaultCutOffGrace))
+	}
+	return out
+}
+
+// listAs reads all objects of a kind.
+func listAs[T any](ctx context.Context, st store.Store, kind string) ([]T, error) {
+	list, _, err := st.List(ctx, kind)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]T, len(list))
+	for i, o := range list {
+		if err := json.Unmarshal(o.Spec, &out[i]); err != nil {
+			return nil, errors.Wrapf(err, "platform object %s %q is unreadable; delete it and its writer writes it again", kind, o.Name)
+		}
+	}
+	return out, nil
+}
+
+// await waits until the entry is accepted, or until limit has passed.
+func await(g *Globals, f *PlatformFlags, e release.Entry, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(g.ctx, limit)
+	defer cancel()
+	st := store.NewClient(f.Platform)
+	for {
+		v, err := verdict(ctx, st, time.Now())
+		if err == nil && v.Release >= e.Number && v.Accepted {
+			return nil
+		}
+		select {
+		case <-time.After(waitInterval):
+		case <-ctx.Done():
+			return errors.Newf("release %d is committed, but not accepted within %s; run 'shallotramp status' to see which zones are late", e.Number, limit)
+		}
+	}
+}
