--- a/internal/command/cli/key.go
+++ b/internal/command/cli/key.go
@@ -94,7 +94,10 @@
 // amend publishes the release in force with a change. When another publication comes
 // between, the change is made again on the newer release.
 func amend(g *Globals, f *PlatformFlags, who, note string, change func(*object.Set) error) (release.Entry, error) {
-	ctx, cancel, st := f.open(g)
+	ctx, cancel, st, err := f.open(g)
+	if err != nil {
+		return release.Entry{}, err
+	}
 	defer cancel()
 	for range maxRaces {
 		base, set, err := loadRelease(ctx, st, 0)
--- a/internal/command/cli/publish.go
+++ b/internal/command/cli/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"os"
@@ -20,12 +21,39 @@
 
 // PlatformFlags name the platform.
 type PlatformFlags struct {
-	Platform string `help:"Base URL of the platform's object API." required:"" env:"SHALLOTRAMP_PLATFORM"`
+	Platform          string `help:"Base URL of the platform's object API." required:"" env:"SHALLOTRAMP_PLATFORM"`
+	PlatformTokenFile string `help:"File with the bearer token for the platform; it is read again when it changes." type:"path" env:"SHALLOTRAMP_PLATFORM_TOKEN_FILE"`
+	PlatformCA        string `help:"PEM file with the authority of the platform's certificate; the system's if empty." type:"path" env:"SHALLOTRAMP_PLATFORM_CA"`
 }
 
-func (f *PlatformFlags) open(g *Globals) (context.Context, context.CancelFunc, store.Store) {
+// client returns a client of the platform.
+func (f *PlatformFlags) client() (store.Store, error) {
+	var opts []store.Option
+	if f.PlatformTokenFile != "" {
+		opts = append(opts, store.WithTokenFile(f.PlatformTokenFile))
+	}
+	if f.PlatformCA != "" {
+		pem, err := os.ReadFile(f.PlatformCA)
+		if err != nil {
+			return nil, errors.Wrap(err, "the platform's authority cannot be read; check --platform-ca")
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return nil, errors.New("--platform-ca holds no certificate; give a PEM file")
+		}
+		opts = append(opts, store.WithRootCAs(pool))
+	}
+	return store.NewClient(f.Platform, opts...), nil
+}
+
+// open returns a client and a context for the calls of one command.
+func (f *PlatformFlags) open(g *Globals) (context.Context, context.CancelFunc, store.Store, error) {
+	st, err := f.client()
+	if err != nil {
+		return nil, nil, nil, err
+	}
 	ctx, cancel := context.WithTimeout(g.ctx, platformTimeout)
-	return ctx, cancel, store.NewClient(f.Platform)
+	return ctx, cancel, st, nil
 }
 
 // WaitFlags let a command wait until its release is accepted.
@@ -110,7 +138,10 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel, st := c.open(g)
+	ctx, cancel, st, err := c.open(g)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	base := uint64(0)
 	if c.Base != nil {
--- a/internal/command/cli/read.go
+++ b/internal/command/cli/read.go
@@ -53,7 +53,10 @@
 
 // Run implements the command. The output can be edited and published again.
 func (c *GetCommand) Run(g *Globals) error {
-	ctx, cancel, st := c.open(g)
+	ctx, cancel, st, err := c.open(g)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	e, set, err := loadRelease(ctx, st, c.Release)
 	if err != nil {
@@ -95,7 +98,10 @@
 
 // Run implements the command.
 func (c *HistoryCommand) Run(g *Globals) error {
-	ctx, cancel, st := c.open(g)
+	ctx, cancel, st, err := c.open(g)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	head, _, err := release.ReadHead(ctx, st)
 	if err != nil {
@@ -134,7 +140,10 @@
 
 // Run implements the command.
 func (c *DiffCommand) Run(g *Globals) error {
-	ctx, cancel, st := c.open(g)
+	ctx, cancel, st, err := c.open(g)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	_, from, err := loadRelease(ctx, st, c.From)
 	if err != nil {
--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -1,22 +1,26 @@
 package cli
 
 import (
+	"context"
 	"net/netip"
 	"os"
 	"time"
 
 	"shallotramp/internal/entry/gateway"
 	"shallotramp/internal/entry/host"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/ops/trace"
 )
 
+// traceFlushTimeout bounds the export of the last spans at a stop.
+const traceFlushTimeout = 5 * time.Second
+
 // ServeCommand runs an entry host.
 type ServeCommand struct {
 	Name      string         `help:"Name of the host; the machine's name if empty." env:"SHALLOTRAMP_NAME"`
 	Zone      string         `help:"Availability zone of the host." required:"" env:"SHALLOTRAMP_ZONE"`
 	Callers   netip.AddrPort `help:"Address of the callers' listener." default:"0.0.0.0:8080" env:"SHALLOTRAMP_CALLERS"`
 	Operators netip.AddrPort `help:"Address of the operators' listener." default:"127.0.0.1:8081" env:"SHALLOTRAMP_OPERATORS"`
-	Platform  string         `help:"Base URL of the platform's object API." required:"" env:"SHALLOTRAMP_PLATFORM"`
+	PlatformFlags
 
 	FleetListen    netip.AddrPort   `help:"Address of the listener for other hosts." default:"0.0.0.0:7300" env:"SHALLOTRAMP_FLEET_LISTEN"`
 	FleetAdvertise netip.AddrPort   `help:"Address that other hosts are told; needed when the listener has none of its own." env:"SHALLOTRAMP_FLEET_ADVERTISE"`
@@ -25,12 +29,14 @@
 	FleetCA        string           `help:"PEM file with the authority of all hosts' certificates." type:"path" env:"SHALLOTRAMP_FLEET_CA"`
 	FleetSeeds     []netip.AddrPort `help:"Hosts to ask for others when the platform's list cannot be read." env:"SHALLOTRAMP_FLEET_SEEDS"`
 
-	DrainDelay   time.Duration `help:"Time between readiness off and the end of new requests at a planned stop." default:"5s" env:"SHALLOTRAMP_DRAIN_DELAY"`
-	DrainTimeout time.Duration `help:"Longest wait for open requests at a planned stop." default:"10m" env:"SHALLOTRAMP_DRAIN_TIMEOUT"`
-	BodyLimit    int64         `help:"Largest body of a request, in bytes." default:"8388608" env:"SHALLOTRAMP_BODY_LIMIT"`
-	HeaderLimit  int           `help:"Largest header of a request, in bytes." default:"65536" env:"SHALLOTRAMP_HEADER_LIMIT"`
-	ReadTimeout  time.Duration `help:"Longest time to read a request." default:"30s" env:"SHALLOTRAMP_READ_TIMEOUT"`
-	WriteTimeout time.Duration `help:"Longest time of one write to a caller." default:"20s" env:"SHALLOTRAMP_WRITE_TIMEOUT"`
+	DrainDelay    time.Duration `help:"Time between readiness off and the end of new requests at a planned stop." default:"5s" env:"SHALLOTRAMP_DRAIN_DELAY"`
+	DrainTimeout  time.Duration `help:"Longest wait for open requests at a planned stop." default:"10m" env:"SHALLOTRAMP_DRAIN_TIMEOUT"`
+	BodyLimit     int64         `help:"Largest body of a request, in bytes." default:"8388608" env:"SHALLOTRAMP_BODY_LIMIT"`
+	HeaderLimit   int           `help:"Largest header of a request, in bytes." default:"65536" env:"SHALLOTRAMP_HEADER_LIMIT"`
+	ReadTimeout   time.Duration `help:"Longest time to read a request." default:"30s" env:"SHALLOTRAMP_READ_TIMEOUT"`
+	TraceSample   float64       `help:"Share of requests that are traced, 0 to 1." default:"0.01" env:"SHALLOTRAMP_TRACE_SAMPLE"`
+	TraceEndpoint string        `help:"URL of an OTLP receiver for traces; off if empty." env:"SHALLOTRAMP_TRACE_ENDPOINT"`
+	WriteTimeout  time.Duration `help:"Longest time of one write to a caller." default:"20s" env:"SHALLOTRAMP_WRITE_TIMEOUT"`
 }
 
 // Run implements the command.
@@ -42,6 +48,19 @@
 			return err
 		}
 	}
+	st, err := c.client()
+	if err != nil {
+		return err
+	}
+	stop, err := trace.Start(g.ctx, trace.Config{Host: name, Zone: c.Zone, Sample: c.TraceSample, Endpoint: c.TraceEndpoint})
+	if err != nil {
+		return err
+	}
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+		defer cancel()
+		_ = stop(ctx)
+	}()
 	h, err := host.New(host.Config{
 		Name: name, Zone: c.Zone, Callers: c.Callers, Operators: c.Operators,
 		DrainDelay: c.DrainDelay, DrainTimeout: c.DrainTimeout,
@@ -49,7 +68,7 @@
 		Fleet: host.Fleet{
 			Listen: c.FleetListen, Advertise: c.FleetAdvertise, CertFile: c.FleetCert, KeyFile: c.FleetKey, CAFile: c.FleetCA, Seeds: c.FleetSeeds,
 		},
-	}, store.NewClient(c.Platform), g.logger())
+	}, st, g.logger())
 	if err != nil {
 		return err
 	}
--- a/internal/command/cli/status.go
+++ b/internal/command/cli/status.go
@@ -35,7 +35,10 @@
 
 // Run implements the command.
 func (c *StatusCommand) Run(g *Globals) error {
-	ctx, cancel, st := c.open(g)
+	ctx, cancel, st, err := c.open(g)
+	if err != nil {
+		return err
+	}
 	defer cancel()
 	v, err := verdict(ctx, st, time.Now())
 	if err != nil {
@@ -139,9 +142,12 @@
 
 // await waits until the entry is accepted, or until limit has passed.
 func await(g *Globals, f *PlatformFlags, e release.Entry, limit time.Duration) error {
+	st, err := f.client()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(g.ctx, limit)
 	defer cancel()
-	st := store.NewClient(f.Platform)
 	for {
 		v, err := verdict(ctx, st, time.Now())
 		if err == nil && v.Release >= e.Number && v.Accepted {
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -89,6 +92,8 @@
 	base  string
 	http  *http.Client
 	calls atomic.Int64
+	// tokenFile holds the bearer token; empty for none.
+	tokenFile string
 }
 
 // Option changes a [Client].
@@ -99,6 +104,19 @@
 	return func(c *Client) { c.http.Transport = rt }
 }
 
+// WithTokenFile sends the content of a file as bearer token. The file is read for each
+// call, so that a rotated token is taken without a restart.
+func WithTokenFile(path string) Option { return func(c *Client) { c.tokenFile = path } }
+
+// WithRootCAs sets the authorities of the platform's certificate.
+func WithRootCAs(pool *x509.CertPool) Option {
+	return func(c *Client) {
+		if t, ok := c.http.Transport.(*http.Transport); ok {
+			t.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+		}
+	}
+}
+
 // NewClient returns a client of the object API at base, such as "http://10.0.0.2:6443".
 func NewClient(base string, opts ...Option) *Client {
 	c := &Client{
@@ -246,6 +264,13 @@
 	if in != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	if c.tokenFile != "" {
+		token, err := os.ReadFile(c.tokenFile)
+		if err != nil {
+			return nil, &Error{Reason: Invalid, Kind: kind, Name: name, Cause: errors.Wrap(err, "the token file cannot be read")}
+		}
+		req.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(token)))
+	}
 	c.calls.Add(1)
 	res, err := c.http.Do(req)
 	if err != nil {
