--- a/internal/entry/console/console.go
+++ b/internal/entry/console/console.go
@@ -31,6 +31,7 @@
 // Console serves one host's operators. Its fields are set before [Console.Handler] is called.
 type Console struct {
 	Status  func() Status
+	Page    func() Page
 	Book    *explain.Book
 	Metrics *metrics.Set
 	// Extra adds handlers of other parts of the host by path.
@@ -40,6 +41,7 @@
 // Handler returns the handler of the operators' listener.
 func (c *Console) Handler() http.Handler {
 	e := echo.New()
+	e.GET("/", c.servePage)
 	e.GET("/live", func(ec echo.Context) error { return ec.NoContent(http.StatusOK) })
 	e.GET("/ready", c.ready)
 	e.GET("/status", func(ec echo.Context) error { return ec.JSON(http.StatusOK, c.Status()) })
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -38,6 +38,8 @@
 	begun  bool
 	tokens int
 	text   []byte
+	// first is the time from arrival to the first token.
+	first time.Duration
 	// id is the stream's id, kept when another server resumes it.
 	id string
 	// prompt and cached count input tokens as the first server reported them.
@@ -107,6 +109,8 @@
 	g.book.Begin(c.req)
 	g.book.Note(c.req.ID, c.req.Arrived, "arrived", fmt.Sprintf("class %s, tier %d, route %s, pool %s, zone %s", c.req.Class, c.req.Tier, c.req.Route, c.req.Pool, g.zone))
 	g.count("requests_total", c)
+	score := g.scores.of(c.req.Class)
+	score.offered.Add(1)
 	g.drive(ctx, c)
 	g.metrics.GetOrCreateHistogram(fmt.Sprintf(`request_duration_seconds{class=%q}`, c.req.Class)).UpdateDuration(c.req.Arrived)
 }
@@ -154,6 +158,7 @@
 
 func (g *Gateway) refuse(c *call, e dispatch.Effect) {
 	g.book.Note(c.req.ID, time.Now(), "refused", e.Reason.String()+" "+e.Why)
+	g.scores.of(c.req.Class).refused.Add(1)
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`refusals_total{class=%q,reason=%q}`, c.req.Class, e.Reason)).Inc()
 	g.fail(c, refusal(e))
 }
@@ -162,6 +167,7 @@
 func (g *Gateway) finish(ctx context.Context, c *call, res request.Result, fault *Fault) {
 	if res.Outcome == request.Completed {
 		g.count("completed_total", c)
+		g.scores.of(c.req.Class).completed(c, res)
 		return
 	}
 	if fault != nil {
@@ -206,10 +212,10 @@
 	if res.Outcome == request.Completed {
 		u.Requests = 1
 	}
-	switch {
-	case c.account != nil:
+	if c.account != nil {
 		c.account.Attempt(res.Server, u, exact(c, res))
-	case u != (meter.Use{}):
+	}
+	if u != (meter.Use{}) {
 		g.counter.Count(c.req.Organisation, u)
 	}
 	g.metrics.GetOrCreateCounter(fmt.Sprintf(`output_tokens_total{class=%q}`, c.req.Class)).Add(res.OutputTokens)
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -68,6 +68,7 @@
 	limits   Limits
 	backends http.RoundTripper
 	open     *registry
+	scores   *scores
 }
 
 // Option changes a [Gateway].
@@ -116,7 +117,7 @@
 	g := &Gateway{
 		zone: zone, holder: holder, loop: loop,
 		counter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(), log: zerolog.Nop(),
-		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, open: newRegistry(),
+		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, open: newRegistry(), scores: &scores{},
 		backends: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 256,
@@ -163,6 +164,9 @@
 // Open returns how many requests are open.
 func (g *Gateway) Open() int { return g.open.len() }
 
+// Classes returns the service that each class got on this host since it started, by name.
+func (g *Gateway) Classes() []ClassScore { return g.scores.list() }
+
 // Enforce ends the open requests that the release in force no longer allows. It
 // is called after each adoption and at least once a second.
 func (g *Gateway) Enforce(now time.Time) {
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -135,6 +135,9 @@
 	if s.res.FirstToken == 0 {
 		s.res.FirstToken = time.Since(s.c.req.Arrived)
 	}
+	if s.c.answer.first == 0 {
+		s.c.answer.first = s.res.FirstToken
+	}
 	if len(s.c.answer.text)+len(text) > maxResumeBytes {
 		s.c.answer.unresumable = true
 	} else {
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -198,7 +198,7 @@
 }
 
 func (h *Host) consoleHandler() http.Handler {
-	c := &console.Console{Status: h.Status, Book: h.book, Metrics: h.metrics, Extra: h.fleetPages()}
+	c := &console.Console{Status: h.Status, Page: h.page, Book: h.book, Metrics: h.metrics, Extra: h.fleetPages()}
 	return c.Handler()
 }
 
