release: keep the monotonic reading of a confirmation

Cause: the time of the last confirmation was kept as wall time, so that a clock set back would have lengthened CutOffGrace on a cut-off host, where a withdrawn key would have gone on working. The holder keeps the whole time value.

--- a/internal/catalog/release/holder.go
+++ b/internal/catalog/release/holder.go
@@ -8,7 +8,8 @@
 // Holder holds the release in force on a host. It never goes back to an earlier one. It is safe for concurrent use.
 type Holder struct {
 	current   atomic.Pointer[Snapshot]
-	confirmed atomic.Int64
+	// confirmed keeps the monotonic reading, so that a wall clock set back lengthens no grace.
+	confirmed atomic.Pointer[time.Time]
 }
 
 // Current returns the release in force, or nil before the first.
@@ -36,7 +37,7 @@
 	}
 	for {
 		old := h.confirmed.Load()
-		if at.UnixNano() <= old || h.confirmed.CompareAndSwap(old, at.UnixNano()) {
+		if at.IsZero() || old != nil && !at.After(*old) || h.confirmed.CompareAndSwap(old, &at) {
 			return
 		}
 	}
@@ -44,8 +45,8 @@
 
 // Confirmed returns when the release in force was last known to be the newest; zero for never.
 func (h *Holder) Confirmed() time.Time {
-	if n := h.confirmed.Load(); n != 0 {
-		return time.Unix(0, n)
+	if at := h.confirmed.Load(); at != nil {
+		return *at
 	}
 	return time.Time{}
 }
--- /dev/null
+++ b/internal/catalog/release/holder_test.go
@@ -0,0 +1,30 @@
+package release
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/catalog/object"
+)
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	convey.Convey("A holder takes later releases and confirmations only", t, func() {
+		now := time.Now()
+		var h Holder
+		convey.So(h.Confirmed().IsZero(), convey.ShouldBeTrue)
+		h.Confirm(1, now)
+		convey.So(h.Confirmed().IsZero(), convey.ShouldBeTrue)
+		convey.So(h.Adopt(NewSnapshot(2, "", object.NewSet())), convey.ShouldBeTrue)
+		convey.So(h.Adopt(NewSnapshot(1, "", object.NewSet())), convey.ShouldBeFalse)
+		convey.So(h.Adopt(NewSnapshot(2, "", object.NewSet())), convey.ShouldBeFalse)
+		h.Confirm(2, now)
+		h.Confirm(2, now.Add(-time.Second))
+		h.Confirm(3, now.Add(time.Second))
+		h.Confirm(2, time.Time{})
+		convey.So(h.Confirmed(), convey.ShouldEqual, now)
+		// The reading of the monotonic clock is kept: a wall clock set back lengthens no grace.
+		convey.So(h.Confirmed().String(), convey.ShouldContainSubstring, "m=")
+	})
+}
