--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -55,18 +55,19 @@
 type Commands struct {
 	Globals
 
-	Serve   ServeCommand   `cmd:"" help:"Run an entry host."`
-	Check   CheckCommand   `cmd:"" help:"Check a whole set of objects offline."`
-	Publish PublishCommand `cmd:"" help:"Check a whole set of objects and publish it as the next release."`
-	Get     GetCommand     `cmd:"" help:"Print objects of a release, in the form in which they are published."`
-	Diff    DiffCommand    `cmd:"" help:"Show what differs between files and a release, or between two releases."`
-	History HistoryCommand `cmd:"" help:"List the releases."`
-	Status  StatusCommand  `cmd:"" help:"Show in which zones the release is in force, and what is late."`
-	Key     KeyCommand     `cmd:"" help:"Grant and withdraw keys."`
-	Explain ExplainCommand `cmd:"" help:"Show the decisions taken for one request."`
-	Load    LoadCommand    `cmd:"" help:"Offer open-loop traffic from a profile and report the measures."`
-	Demo    DemoCommand    `cmd:"" help:"Run a whole deployment with stand-ins in one process."`
-	Standin StandinCommand `cmd:"" help:"Run one stand-in of an outside system, for trials and tests."`
+	Serve    ServeCommand    `cmd:"" help:"Run an entry host."`
+	Check    CheckCommand    `cmd:"" help:"Check a whole set of objects offline."`
+	Publish  PublishCommand  `cmd:"" help:"Check a whole set of objects and publish it as the next release."`
+	Get      GetCommand      `cmd:"" help:"Print objects of a release, in the form in which they are published."`
+	Diff     DiffCommand     `cmd:"" help:"Show what differs between files and a release, or between two releases."`
+	History  HistoryCommand  `cmd:"" help:"List the releases."`
+	Status   StatusCommand   `cmd:"" help:"Show in which zones the release is in force, and what is late."`
+	Key      KeyCommand      `cmd:"" help:"Grant and withdraw keys."`
+	Explain  ExplainCommand  `cmd:"" help:"Show the decisions taken for one request."`
+	Load     LoadCommand     `cmd:"" help:"Offer open-loop traffic from a profile and report the measures."`
+	Demo     DemoCommand     `cmd:"" help:"Run a whole deployment with stand-ins in one process."`
+	Settings SettingsCommand `cmd:"" hidden:"" help:"Write the page of all settings."`
+	Standin  StandinCommand  `cmd:"" help:"Run one stand-in of an outside system, for trials and tests."`
 }
 
 func init() {
@@ -100,7 +101,7 @@
 		return Usage
 	}
 	c.ctx, c.stdout, c.stderr = ctx, stdout, stderr
-	if err := k.Run(&c.Globals); err != nil {
+	if err := k.Run(&c.Globals, p); err != nil {
 		fmt.Fprintln(stderr, "shallotramp:", err)
 		return Failed
 	}
