--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -238,7 +238,7 @@
 			break
 		}
 		e := p.entries[it.Request.ID]
-		name, why, ok := p.choose(now, e)
+		name, why, ok := p.choose(now, e, floor)
 		p.unqueue(now, e)
 		if !ok {
 			aside = append(aside, e)
@@ -282,17 +282,24 @@
 const floorWhy = "floor of the class; "
 
 // choose asks for a server, at first without those that failed the request before.
-func (p *Policy) choose(now time.Time, e *entry) (name, why string, ok bool) {
+// A floor's start may take the places that are kept for the first tier.
+func (p *Policy) choose(now time.Time, e *entry, floor bool) (name, why string, ok bool) {
 	if e.isolate {
 		return p.chooseApart(now, e)
 	}
-	if name, why, ok = p.chooser.Choose(now, e.req, e.exclude); ok || len(e.exclude) == 0 {
+	r := e.req
+	if floor {
+		first := *r
+		first.Tier = e.pool.q.Classes()[0].Tier
+		r = &first
+	}
+	if name, why, ok = p.chooser.Choose(now, r, e.exclude); ok || len(e.exclude) == 0 {
 		return name, why, ok
 	}
 	if len(e.exclude) < p.chooser.Usable(e.req.Pool) {
 		return "", "", false
 	}
-	return p.chooser.Choose(now, e.req, nil)
+	return p.chooser.Choose(now, r, nil)
 }
 
 func (p *Policy) unqueue(now time.Time, e *entry) {
