scheduler: hosts shed along one line of fair order and leave places to needier organisations

Cause: each host compared only its own waiting work, so a small organisation's request was shed on one host while another kept one of the largest organisation. Hosts now tell a sample of the use before each waiting request and draw one line from all samples; a class leaves a free place for 600 ms to a host whose next organisation had clearly less.

--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 )
 
@@ -34,7 +35,11 @@
 	Running, PeerRunning, PeerWaiting int
 	// LastStart is when work of the class was last started, or when work came to wait in an idle class.
 	LastStart time.Time
+	// PeerLeast is the least use of an organisation whose work waits on another host; negative if none does.
+	PeerLeast float64
 
+	// yielded is since when the class leaves places to work of other hosts.
+	yielded time.Time
 	clock   decay
 	flows   map[string]*flow
 	ready   Heap[*flow]
@@ -50,7 +55,7 @@
 func newClass(name string) *Class {
 	byUse := func(a, b *flow) bool { return a.used < b.used }
 	return &Class{
-		Name: name, flows: map[string]*flow{},
+		Name: name, PeerLeast: -1, flows: map[string]*flow{},
 		ready:   NewHeap(byUse, func(f *flow, i int) { f.readyPlace = i }),
 		late:    NewHeap(byUse, func(f *flow, i int) { f.latePlace = i }),
 		longest: NewHeap(func(a, b *flow) bool { return a.claim > b.claim }, func(f *flow, i int) { f.longestPlace = i }),
@@ -154,6 +159,66 @@
 	return nil
 }
 
+// LeastUse returns the recent work, in tokens by weight, of the organisation that is next; 0 if none waits.
+func (c *Class) LeastUse(now time.Time) float64 {
+	it := c.head()
+	if it == nil {
+		return 0
+	}
+	return it.flow.used / c.clock.growth(now)
+}
+
+// Uses samples, in ascending order, the use that comes before each waiting item that may be shed:
+// the recent work of its organisation and the work of it that waits ahead, in tokens by weight.
+func (c *Class) Uses(now time.Time, most int) []float64 {
+	var all []float64
+	growth := c.clock.growth(now)
+	for i := 0; i < c.longest.Len() && len(all) < maxUses; i++ {
+		f := c.longest.At(i)
+		use := f.used / growth
+		for _, h := range []*Heap[*Item]{&f.onTime, &f.late} {
+			for j := range h.Len() {
+				if it := h.At(j); !it.Resumed {
+					all = append(all, use)
+					use += it.Cost / f.weight
+				}
+			}
+		}
+	}
+	slices.Sort(all)
+	if len(all) <= most {
+		return all
+	}
+	out := make([]float64, most)
+	for i := range out {
+		out[i] = all[(2*i+1)*len(all)/(2*most)]
+	}
+	return out
+}
+
+// maxUses bounds the items that a sample of uses is drawn from.
+const maxUses = 1024
+
+const (
+	// yieldShare is how much more than that of another host an organisation may have had to go first.
+	yieldShare = 1.3
+	// yieldTime is how long a class leaves a free place to another host.
+	yieldTime = 600 * time.Millisecond
+)
+
+// yields reports whether the class leaves a place to work of another host, of an organisation
+// that had clearly less.
+func (c *Class) yields(now time.Time) bool {
+	if c.PeerLeast < 0 || c.LeastUse(now) <= yieldShare*c.PeerLeast+c.head().Cost {
+		c.yielded = time.Time{}
+		return false
+	}
+	if c.yielded.IsZero() {
+		c.yielded = now
+	}
+	return now.Sub(c.yielded) < yieldTime
+}
+
 // pass moves items that cannot start within their target any more behind those that can.
 func (c *Class) pass(now time.Time) {
 	for c.due.Len() > 0 && now.After(c.due.Peek().Due) {
@@ -178,27 +243,26 @@
 	c.place(now, f)
 }
 
-// entitled is the share of the most that an organisation had, below which others are shed first.
-const entitled = 0.7
-
-// victim returns the item to shed first: late work, then the newest, of the organisation with the most work had and waiting. Unless any is set, it spares organisations that had
-// clearly less than the one that had the most.
-func (c *Class) victim(anyone bool) *Item {
-	for i := range c.longest.Len() {
+// victim returns the item to shed first, of the organisation with the most work had and waiting,
+// unless less than line comes before it. Late items of an organisation go first, then the newest.
+func (c *Class) victim(now time.Time, line float64) *Item {
+	growth := c.clock.growth(now)
+	for i := range min(victimTries, c.longest.Len()) {
 		f := c.longest.At(i)
-		if !anyone && f.claim < entitled*c.most.Peek().used {
-			continue
+		it := last(&f.late)
+		if it == nil {
+			it = last(&f.onTime)
 		}
-		if it := last(&f.late); it != nil {
-			return it
-		}
-		if it := last(&f.onTime); it != nil {
+		if it != nil && f.claim/growth-it.Cost/f.weight >= line {
 			return it
 		}
 	}
 	return nil
 }
 
+// victimTries bounds the organisations looked at for an item that may be shed.
+const victimTries = 16
+
 // lastCandidates bounds the search for the last item of an organisation.
 const lastCandidates = 8
 
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -192,6 +192,7 @@
 	c := q.Class(class)
 	c.Running++
 	c.LastStart = now
+	c.yielded = time.Time{}
 }
 
 // Ended notes that a running item of the class ended.
@@ -226,7 +227,10 @@
 		if s.Level > 0 && c.Tier > s.Level || ahead > 0 && ahead >= s.Free || !s.Room(c.Rank) {
 			return nil, false
 		}
-		return q.firstOfTier(i).head(), false
+		if c = q.firstOfTier(i); c.yields(now) {
+			return nil, false
+		}
+		return c.head(), false
 	}
 	return nil, false
 }
@@ -263,7 +267,7 @@
 		if c.waiting == 0 {
 			continue
 		}
-		if float64(c.Running+c.PeerRunning) < c.Floor*float64(slots) || now.Sub(c.LastStart) >= ServiceWindow {
+		if now.Sub(c.LastStart) >= ServiceWindow || float64(c.Running+c.PeerRunning) < c.Floor*float64(slots) && !c.yields(now) {
 			return c
 		}
 	}
@@ -284,12 +288,12 @@
 	return out
 }
 
-// Shed removes items of a class until at most keep wait that may be shed, and returns them.
-// Organisations that had less than their share keep theirs up to hard.
-func (q *Queue) Shed(now time.Time, c *Class, keep, hard int) []*Item {
+// Shed removes items of a class until at most keep wait that may be shed, and returns them. Items
+// before which less than line comes, in tokens by weight, stay.
+func (q *Queue) Shed(now time.Time, c *Class, keep int, line float64) []*Item {
 	var out []*Item
 	for c.Sheddable() > keep {
-		it := c.victim(c.Sheddable() > hard)
+		it := c.victim(now, line)
 		if it == nil {
 			break
 		}
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -92,7 +92,7 @@
 		Served: p.served.recent(now), Used: p.served.used(now), Marked: p.suspect.Marks(),
 	}
 	for name, pl := range p.pools {
-		s := pl.state()
+		s := pl.state(now)
 		out.Pools[name] = s
 		for class, c := range s.Classes {
 			out.Waiting[class] += c.Waiting
--- a/internal/traffic/scheduler/pool.go
+++ b/internal/traffic/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"shallotramp/internal/catalog/object"
@@ -48,6 +49,8 @@
 	orgs             map[string]*queue.Lengths
 	// peerSheddable counts the waiting requests of other hosts that have not run.
 	peerSheddable int
+	// line is the use from which waiting requests are shed.
+	line float64
 }
 
 func newPool(name string) *pool {
@@ -97,7 +100,7 @@
 func (p *pool) class(name string) *stats {
 	st, ok := p.stats[name]
 	if !ok {
-		st = &stats{orgs: map[string]*queue.Lengths{}}
+		st = &stats{orgs: map[string]*queue.Lengths{}, line: math.Inf(1)}
 		p.stats[name] = st
 	}
 	return st
@@ -186,6 +189,7 @@
 		p.add(name, s, -1)
 	}
 	delete(p.peers, host)
+	defer p.least()
 	if told == nil {
 		return
 	}
@@ -195,6 +199,18 @@
 	}
 }
 
+// least finds the least use of an organisation that waits on another host.
+func (p *pool) least() {
+	for _, c := range p.q.Classes() {
+		c.PeerLeast = -1
+		for _, s := range p.peers {
+			if t := s.Classes[c.Name]; t.Waiting > 0 && (c.PeerLeast < 0 || t.LeastUse < c.PeerLeast) {
+				c.PeerLeast = t.LeastUse
+			}
+		}
+	}
+}
+
 func (p *pool) add(class string, s dispatch.ClassState, sign int) {
 	c := p.q.Class(class)
 	c.PeerWaiting += sign * s.Waiting
@@ -203,11 +219,11 @@
 }
 
 // state returns what the host tells of the pool.
-func (p *pool) state() dispatch.PoolState {
+func (p *pool) state(now time.Time) dispatch.PoolState {
 	out := dispatch.PoolState{Wanted: p.level.wanted, Applied: p.level.applied, Classes: map[string]dispatch.ClassState{}}
 	for _, c := range p.q.Classes() {
-		s := dispatch.ClassState{Waiting: c.Waiting(), Sheddable: c.Sheddable(), Running: c.Running}
-		if s != (dispatch.ClassState{}) {
+		s := dispatch.ClassState{Waiting: c.Waiting(), Sheddable: c.Sheddable(), Running: c.Running, LeastUse: c.LeastUse(now), Uses: c.Uses(now, usesTold)}
+		if s.Waiting+s.Running > 0 {
 			out.Classes[c.Name] = s
 		}
 	}
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -490,6 +490,7 @@
 func (p *Policy) drainAll(now time.Time) []dispatch.Effect {
 	var out []dispatch.Effect
 	for _, pl := range p.byName() {
+		pl.draw(now, p.slots(pl))
 		out = append(out, p.release(now, pl)...)
 		for _, it := range pl.q.Pass(now) {
 			p.waiting--
--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"math"
+	"sort"
 	"time"
 
 	"shallotramp/internal/traffic/queue"
@@ -75,8 +77,6 @@
 const (
 	// wantShare is the share of what may wait of a tier at which lower tiers are held back.
 	wantShare = 0.5
-	// hardShare relates what may wait of a tier at most, also of organisations that had less than others, to what can meet its target.
-	hardShare = 3
 	// levelHold is how long a level stays after nobody wants it.
 	levelHold = time.Second
 	// settleTime is how long all hosts have applied a level before work of its tier is shed.
@@ -134,12 +134,11 @@
 func (p *pool) overload(now time.Time, slots int) []*queue.Item {
 	var out []*queue.Item
 	l := &p.level
-	hosts := 1 + len(p.peers)
 	for _, o := range p.outlooks(slots) {
 		settled := l.agreedOn > 0 && l.agreedOn <= o.class.Tier && now.Sub(l.agreed) >= settleTime
 		lowest := o.class.Tier == p.lowestTier()
 		if o.waiting > o.allowed && (settled || lowest) {
-			out = append(out, p.q.Shed(now, o.class, o.share(o.allowed, hosts), o.share(hardShare*o.allowed, hosts))...)
+			out = append(out, p.q.Shed(now, o.class, 0, p.class(o.class.Name).line)...)
 		}
 	}
 	return out
@@ -150,14 +149,51 @@
 	return classes[len(classes)-1].Tier
 }
 
-// share returns how many of n requests of the class may wait on this host: in proportion to
-// what waits here, and no less than an equal share.
-func (o outlook) share(n, hosts int) int {
-	own := 0
-	if o.waiting > 0 {
-		own = n * o.class.Sheddable() / o.waiting
+// draw finds the lines by which classes with too much waiting work are shed: on all hosts
+// together, about as many requests as may wait come before the line in fair order. Hosts draw
+// nearly the same line, so the organisations with the most use lose, wherever their work waits.
+func (p *pool) draw(now time.Time, slots int) {
+	for _, o := range p.outlooks(slots) {
+		st := p.class(o.class.Name)
+		st.line = math.Inf(1)
+		if o.waiting <= o.allowed {
+			continue
+		}
+		st.line = lineOf(p.samples(now, o.class), float64(max(o.allowed, 1+len(p.peers))))
+	}
+}
+
+// sample is a use that a number of waiting requests have.
+type sample struct{ use, count float64 }
+
+// samples collects the uses of what waits on all hosts.
+func (p *pool) samples(now time.Time, c *queue.Class) []sample {
+	var out []sample
+	add := func(uses []float64, n int) {
+		for _, u := range uses {
+			out = append(out, sample{u, float64(n) / float64(len(uses))})
+		}
+	}
+	add(c.Uses(now, usesTold), c.Sheddable())
+	for _, s := range p.peers {
+		t := s.Classes[c.Name]
+		add(t.Uses, t.Sheddable)
+	}
+	return out
+}
+
+// usesTold bounds the sample of uses told to other hosts.
+const usesTold = 8
+
+// lineOf returns the use before which n of the sampled requests come.
+func lineOf(list []sample, n float64) float64 {
+	sort.Slice(list, func(i, j int) bool { return list[i].use < list[j].use })
+	for _, s := range list {
+		if n -= s.count; n < 0 {
+			return s.use
+		}
 	}
-	return max(1, own, n/hosts)
+	return math.Inf(1)
 }
 
 // retryAfter returns when a refused request of a class may be admitted: once the backlog has
--- a/internal/traffic/scheduler/sim_test.go
+++ b/internal/traffic/scheduler/sim_test.go
@@ -122,7 +122,7 @@
 	outputs        int
 	violations     []string
 	preempts       int
-	shares []string
+	shares         []string
 }
 
 func newSim(d deployment, f faults, length time.Duration, seed uint64, policy func(i int, zone string) dispatch.Policy) *sim {
