scheduler: take smaller totals of other hosts as corrections

Cause: a total that fell, because an estimate was corrected, was taken for a host that had started anew and charged whole, so organisations' use differed between hosts by a third. Hosts now tell since when they count.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -39,6 +39,8 @@
 	Host string
 	Zone string
 	At   time.Time
+	// Since is when the host began to count; its totals start anew then.
+	Since time.Time
 	// Waiting and Running count requests by class.
 	Waiting, Running map[string]int
 	// OldestWait by class.
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -9,6 +9,7 @@
 // peer is another host.
 type peer struct {
 	heard  time.Time
+	since  time.Time
 	served map[string]map[string]int64
 }
 
@@ -22,6 +23,9 @@
 		p.peers[h.Host] = q
 	}
 	q.heard = now
+	if !q.since.Equal(h.Since) {
+		q.since, q.served = h.Since, map[string]map[string]int64{}
+	}
 	for name, pl := range p.pools {
 		told := h.Pools[name]
 		pl.merge(h.Host, &told)
@@ -39,11 +43,8 @@
 			q.served[class] = seen
 		}
 		for org, total := range orgs {
-			// A smaller total is that of a host that started anew.
+			// A smaller total corrects an estimate.
 			work := total - seen[org]
-			if total < seen[org] {
-				work = total
-			}
 			seen[org] = total
 			if work == 0 {
 				continue
@@ -87,7 +88,7 @@
 // State implements [dispatch.Policy].
 func (p *Policy) State(now time.Time) dispatch.HostState {
 	out := dispatch.HostState{
-		At: now, Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{},
+		At: now, Since: p.since, Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{},
 		Outstanding: p.chooser.Outstanding(), Pools: map[string]dispatch.PoolState{},
 		Served: p.served.recent(now), Used: p.served.used(now), Marked: p.suspect.Marks(),
 	}
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -32,7 +32,9 @@
 
 // Policy decides. It implements [dispatch.Policy].
 type Policy struct {
-	zone    string
+	zone string
+	// since is when the policy began to count.
+	since   time.Time
 	snap    *release.Snapshot
 	rnd     *rand.Rand
 	chooser Chooser
@@ -83,6 +85,9 @@
 
 // Configure implements [dispatch.Policy].
 func (p *Policy) Configure(now time.Time, s *release.Snapshot) []dispatch.Effect {
+	if p.snap == nil {
+		p.since = now
+	}
 	p.snap = s
 	p.chooser.Configure(now, s)
 	p.retry.Configure(s)
