queue: late work of organisations that had clearly less goes first and is spared

Cause: short targets allow short queues, so a burst of a small organisation was shed though it had less than its share over time.

--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -148,15 +148,27 @@
 	c.place(now, f)
 }
 
-// head returns the item to start next: of the organisation with the least use, work in time first.
+// Entitled is the share of the most use of an organisation below which another had clearly less.
+const Entitled = 0.9
+
+// head returns the item to start next: of the organisation with the least use. Work in time goes
+// before late work, unless that is of an organisation that had clearly less.
 func (c *Class) head() *Item {
-	if c.ready.Len() > 0 {
-		return c.ready.Peek().onTime.Peek()
-	}
-	if c.late.Len() > 0 {
+	switch {
+	case c.late.Len() == 0 && c.ready.Len() == 0:
+		return nil
+	case c.ready.Len() == 0 || c.late.Len() > 0 && c.late.Peek().used < Entitled*c.ready.Peek().used:
 		return c.late.Peek().late.Peek()
 	}
-	return nil
+	return c.ready.Peek().onTime.Peek()
+}
+
+// MostUse returns the most recent work that an organisation had, in tokens by weight.
+func (c *Class) MostUse(now time.Time) float64 {
+	if c.most.Len() == 0 {
+		return 0
+	}
+	return c.most.Peek().used / c.clock.growth(now)
 }
 
 // LeastUse returns the recent work, in tokens by weight, of the organisation that is next; 0 if none waits.
--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -77,6 +77,8 @@
 const (
 	// wantShare is the share of what may wait of a tier at which lower tiers are held back.
 	wantShare = 0.5
+	// hardShare relates what may wait of a tier at most to what can meet its target.
+	hardShare = 3
 	// levelHold is how long a level stays after nobody wants it.
 	levelHold = time.Second
 	// settleTime is how long all hosts have applied a level before work of its tier is shed.
@@ -159,7 +161,12 @@
 		if o.waiting <= o.allowed {
 			continue
 		}
-		st.line = lineOf(p.samples(now, o.class), float64(max(o.allowed, 1+len(p.peers))))
+		list := p.samples(now, o.class)
+		allowed := float64(max(o.allowed, 1+len(p.peers)))
+		st.line = lineOf(list, allowed)
+		// Organisations that had clearly less than others may rather be late, within bounds.
+		spared := min(queue.Entitled*o.class.MostUse(now), lineOf(list, hardShare*allowed))
+		st.line = max(st.line, spared)
 	}
 }
 
