scheduler: shed only what arrived after hosts agreed on the level; a tenth of the places for the first tier

Cause: an item that had waited while another host still started a lower tier could be shed once the level was agreed. It now stays in line.

--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -149,7 +149,7 @@
 }
 
 // Entitled is the share of the most use of an organisation below which another had clearly less.
-const Entitled = 0.9
+const Entitled = 0.95
 
 // head returns the item to start next: of the organisation with the least use. Work in time goes
 // before late work, unless that is of an organisation that had clearly less.
@@ -256,16 +256,16 @@
 }
 
 // victim returns the item to shed first, of the organisation with the most work had and waiting,
-// unless less than line comes before it. Late items of an organisation go first, then the newest.
-func (c *Class) victim(now time.Time, line float64) *Item {
+// unless the cut spares it. Late items of an organisation go first, then the newest.
+func (c *Class) victim(now time.Time, by Cut) *Item {
 	growth := c.clock.growth(now)
 	for i := range min(victimTries, c.longest.Len()) {
 		f := c.longest.At(i)
-		it := last(&f.late)
+		it := last(&f.late, by.Since)
 		if it == nil {
-			it = last(&f.onTime)
+			it = last(&f.onTime, by.Since)
 		}
-		if it != nil && f.claim/growth-it.Cost/f.weight >= line {
+		if it != nil && f.claim/growth-it.Cost/f.weight >= by.Line {
 			return it
 		}
 	}
@@ -278,13 +278,13 @@
 // lastCandidates bounds the search for the last item of an organisation.
 const lastCandidates = 8
 
-// last returns about the newest item of h that has not run. Items come in about the order in
+// last returns about the newest item of h that has not run and arrived since a time. Items come in about the order in
 // which they are due, so the newest is among the last leaves.
-func last(h *Heap[*Item]) *Item {
+func last(h *Heap[*Item], since time.Time) *Item {
 	var out *Item
 	for i := h.Len() - 1; i >= max(0, h.Len()-lastCandidates); i-- {
 		it := h.At(i)
-		if !it.Resumed && (out == nil || out.before(it)) {
+		if !it.Resumed && !it.Request.Arrived.Before(since) && (out == nil || out.before(it)) {
 			out = it
 		}
 	}
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -16,7 +16,7 @@
 	// PromptShare is the work of an input token relative to an output token.
 	PromptShare = 0.1
 	// useMemory is the time after which work that an organisation had counts 1/e.
-	useMemory = 60 * time.Second
+	useMemory = 300 * time.Second
 	// maxGrowth bounds the scale of the decayed sums before they are rebased.
 	maxGrowth = 1e12
 	// ServiceWindow is the longest time for which a host leaves a class with waiting work without a start.
@@ -288,12 +288,19 @@
 	return out
 }
 
-// Shed removes items of a class until at most keep wait that may be shed, and returns them. Items
-// before which less than line comes, in tokens by weight, stay.
-func (q *Queue) Shed(now time.Time, c *Class, keep int, line float64) []*Item {
+// Cut tells which items are shed: those before which at least Line comes, in tokens by weight,
+// and that arrived at Since or later.
+type Cut struct {
+	Line  float64
+	Since time.Time
+}
+
+// Shed removes the items of a class that a cut does not spare, until keep of those wait that may be
+// shed, and returns them.
+func (q *Queue) Shed(now time.Time, c *Class, keep int, by Cut) []*Item {
 	var out []*Item
 	for c.Sheddable() > keep {
-		it := c.victim(now, line)
+		it := c.victim(now, by)
 		if it == nil {
 			break
 		}
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -5,9 +5,6 @@
 package scheduler
 
 import (
-	"os"
-	"strconv"
-
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -214,7 +211,7 @@
 	if class == nil {
 		return nil
 	}
-	if items := from.q.Shed(now, class, class.Sheddable()-1, 0); len(items) > 0 {
+	if items := from.q.Shed(now, class, class.Sheddable()-1, queue.Cut{}); len(items) > 0 {
 		return items[0]
 	}
 	return nil
@@ -261,14 +258,7 @@
 }
 
 // reserveShare is the share of a pool's places that only its first tier may use.
-var reserveShare = envf("RES", 0.1)
-
-func envf(n string, d float64) float64 {
-	if v, err := strconv.ParseFloat(os.Getenv(n), 64); err == nil {
-		return v
-	}
-	return d
-}
+const reserveShare = 0.1
 
 // room reports whether work of a rank may start: a server has room, and lower tiers leave the
 // first one some places, so that it need not wait for a long answer to end.
--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -78,9 +78,9 @@
 	// wantShare is the share of what may wait of a tier at which lower tiers are held back.
 	wantShare = 0.5
 	// hardShare relates what may wait of a tier at most to what can meet its target.
-	hardShare = 3
+	hardShare = 6
 	// levelHold is how long a level stays after nobody wants it.
-	levelHold = time.Second
+	levelHold = 2 * time.Second
 	// settleTime is how long all hosts have applied a level before work of its tier is shed.
 	settleTime = 300 * time.Millisecond
 )
@@ -140,7 +140,12 @@
 		settled := l.agreedOn > 0 && l.agreedOn <= o.class.Tier && now.Sub(l.agreed) >= settleTime
 		lowest := o.class.Tier == p.lowestTier()
 		if o.waiting > o.allowed && (settled || lowest) {
-			out = append(out, p.q.Shed(now, o.class, 0, p.class(o.class.Name).line)...)
+			by := queue.Cut{Line: p.class(o.class.Name).line}
+			if !lowest {
+				// What arrived before may have waited while lower tiers were served.
+				by.Since = l.agreed
+			}
+			out = append(out, p.q.Shed(now, o.class, 0, by)...)
 		}
 	}
 	return out
--- a/internal/traffic/scheduler/sim_test.go
+++ b/internal/traffic/scheduler/sim_test.go
@@ -54,7 +54,7 @@
 
 // faults are what goes wrong in a run.
 type faults struct {
-	slow, crash, zone, stale, crashAll bool
+	slow, crash, zone, stale bool
 }
 
 type simEvent struct {
@@ -81,13 +81,12 @@
 }
 
 type simEngine struct {
-	name     string
-	zone     int
-	slow     float64
-	down     bool
-	running  map[*simJob]bool
-	waiting  queue.Heap[*simJob]
-	boundary int
+	name    string
+	zone    int
+	slow    float64
+	down    bool
+	running map[*simJob]bool
+	waiting queue.Heap[*simJob]
 }
 
 // interval is the time of one token of each running request.
@@ -142,7 +141,7 @@
 		zone := fmt.Sprintf("zone-%d", i%d.zones)
 		h := &simHost{name: fmt.Sprintf("host-%d", i), zone: zone, policy: policy(i, zone)}
 		s.hosts = append(s.hosts, h)
-		s.carry(h, h.policy.Configure(s.now, s.snap))
+		s.carry(h.policy.Configure(s.now, s.snap))
 	}
 	s.schedule()
 	s.arrivals()
@@ -204,7 +203,7 @@
 func (s *sim) schedule() {
 	for i, h := range s.hosts {
 		offset := time.Duration(i) * 37 * time.Millisecond
-		s.every(offset, 50*time.Millisecond, func() { s.carry(h, h.policy.Tick(s.now)) })
+		s.every(offset, 50*time.Millisecond, func() { s.carry(h.policy.Tick(s.now)) })
 		s.every(offset, simExchange, func() { s.exchange(h) })
 	}
 	for i, e := range s.engines {
@@ -226,7 +225,7 @@
 	st.Host, st.Zone, st.At = h.name, h.zone, s.now
 	for _, o := range s.hosts {
 		if o != h {
-			s.at(simDelay, func() { s.carry(o, o.policy.Peer(s.now, st)) })
+			s.at(simDelay, func() { s.carry(o.policy.Peer(s.now, st)) })
 		}
 	}
 }
@@ -241,7 +240,7 @@
 		delay = 5 * time.Second
 	}
 	for _, h := range s.hosts {
-		s.at(delay, func() { s.carry(h, h.policy.Report(s.now, l)) })
+		s.at(delay, func() { s.carry(h.policy.Report(s.now, l)) })
 	}
 }
 
@@ -273,7 +272,7 @@
 		}
 		tell := func(delay time.Duration, st dispatch.ServerState) {
 			for _, h := range s.hosts {
-				s.at(delay, func() { s.carry(h, h.policy.Server(s.now, st)) })
+				s.at(delay, func() { s.carry(h.policy.Server(s.now, st)) })
 			}
 		}
 		st := dispatch.ServerState{Server: e.name, Zone: "zone-0", Leaving: true}
@@ -325,7 +324,7 @@
 	}
 	s.jobs = append(s.jobs, j)
 	s.byID[j.req.ID] = j
-	s.on(t, func() { s.carry(j.host, j.host.policy.Arrive(s.now, j.req)) })
+	s.on(t, func() { s.carry(j.host.policy.Arrive(s.now, j.req)) })
 	s.on(j.req.Deadline, func() { s.deadline(j) })
 }
 
@@ -340,11 +339,11 @@
 		s.attemptEnd(j, request.Cancelled)
 		return
 	}
-	s.carry(j.host, j.host.policy.Cancel(s.now, j.req.ID))
+	s.carry(j.host.policy.Cancel(s.now, j.req.ID))
 }
 
 // carry does what the gateway of h does with effects.
-func (s *sim) carry(h *simHost, effects []dispatch.Effect) {
+func (s *sim) carry(effects []dispatch.Effect) {
 	for _, e := range effects {
 		j := s.byID[e.ID]
 		switch e.Kind {
@@ -489,7 +488,7 @@
 			}
 		}
 	}
-	s.at(simHop, func() { s.carry(j.host, j.host.policy.Finish(s.now, res)) })
+	s.at(simHop, func() { s.carry(j.host.policy.Finish(s.now, res)) })
 }
 
 // run lets the time pass.
@@ -516,8 +515,6 @@
 	recovery time.Duration
 	preempts int
 	shed     []string
-	// unhandled counts requests without an end.
-	unhandled int
 }
 
 func (s *sim) met(j *simJob) bool {
