scheduler: tell other hosts only work that was done

Cause: totals told to other hosts held estimates and fell when these were corrected, which the exchange between zones takes for a restart. Now they never fall.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -39,8 +39,6 @@
 	Host string
 	Zone string
 	At   time.Time
-	// Since is when the host began to count; its totals start anew then.
-	Since time.Time
 	// Waiting and Running count requests by class.
 	Waiting, Running map[string]int
 	// OldestWait by class.
@@ -53,8 +51,8 @@
 	Marked map[uint64]int
 	// Pools tells of the queue and running work of each pool.
 	Pools map[string]PoolState
-	// Served counts tokens of work since the host started, by class and organisation; entries
-	// that have not changed of late may be missing.
+	// Served counts tokens of work done since the host started, by class and organisation. Totals
+	// never fall; entries that have not changed of late may be missing.
 	Served map[string]map[string]int64
 }
 
--- a/internal/traffic/scheduler/entry.go
+++ b/internal/traffic/scheduler/entry.go
@@ -28,6 +28,8 @@
 	isolate bool
 	// charged is the work that the organisation was charged for the running attempt.
 	charged float64
+	// told is the part of its work that other hosts are told.
+	told float64
 	// generated counts the tokens of the running attempt, and before those of earlier ones.
 	generated, before int
 	preempting        bool
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -9,7 +9,6 @@
 // peer is another host.
 type peer struct {
 	heard  time.Time
-	since  time.Time
 	served map[string]map[string]int64
 }
 
@@ -23,9 +22,6 @@
 		p.peers[h.Host] = q
 	}
 	q.heard = now
-	if !q.since.Equal(h.Since) {
-		q.since, q.served = h.Since, map[string]map[string]int64{}
-	}
 	for name, pl := range p.pools {
 		told := h.Pools[name]
 		pl.merge(h.Host, &told)
@@ -43,8 +39,11 @@
 			q.served[class] = seen
 		}
 		for org, total := range orgs {
-			// A smaller total corrects an estimate.
 			work := total - seen[org]
+			if work < 0 {
+				// The host started anew.
+				work = total
+			}
 			seen[org] = total
 			if work == 0 {
 				continue
@@ -88,7 +87,7 @@
 // State implements [dispatch.Policy].
 func (p *Policy) State(now time.Time) dispatch.HostState {
 	out := dispatch.HostState{
-		At: now, Since: p.since, Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{},
+		At: now, Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{},
 		Outstanding: p.chooser.Outstanding(), Pools: map[string]dispatch.PoolState{},
 		Served: p.served.recent(now), Used: p.served.used(now), Marked: p.suspect.Marks(),
 	}
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -29,9 +29,7 @@
 
 // Policy decides. It implements [dispatch.Policy].
 type Policy struct {
-	zone string
-	// since is when the policy began to count.
-	since   time.Time
+	zone    string
 	snap    *release.Snapshot
 	rnd     *rand.Rand
 	chooser Chooser
@@ -82,9 +80,6 @@
 
 // Configure implements [dispatch.Policy].
 func (p *Policy) Configure(now time.Time, s *release.Snapshot) []dispatch.Effect {
-	if p.snap == nil {
-		p.since = now
-	}
 	p.snap = s
 	p.chooser.Configure(now, s)
 	p.retry.Configure(s)
@@ -308,8 +303,8 @@
 	e.server, e.started = server, now
 	e.starts++
 	e.generated = 0
-	e.charged = e.item.Cost
-	p.charge(now, e, e.charged)
+	e.charged, e.told = 0, 0
+	p.charge(now, e, e.item.Cost)
 	e.pool.q.Started(now, e.req.Class)
 	p.chooser.Started(now, e.req, server)
 	p.suspect.Started(now, e.req.Fingerprint, e.req.ID, server)
@@ -320,9 +315,18 @@
 	return dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: server, Attempt: e.starts, Why: why}
 }
 
+// charge adds expected work to what the organisation had, or takes it back when negative.
 func (p *Policy) charge(now time.Time, e *entry, work float64) {
+	e.charged += work
 	e.pool.q.Charge(now, e.req.Class, e.req.Organisation, work)
-	p.served.add(now, e.req.Class, e.req.Organisation, work)
+}
+
+// tell adds work that was done to what other hosts are told. Estimates are not told, so that totals never fall.
+func (p *Policy) tell(now time.Time, e *entry, work float64) {
+	if work > e.told {
+		p.served.add(now, e.req.Class, e.req.Organisation, work-e.told)
+		e.told = work
+	}
 }
 
 // refuse forgets a request, which waits nowhere any more, and answers its caller.
@@ -380,8 +384,8 @@
 		l := e.pool.class(e.req.Class).lengthsOf(e.req.Organisation)
 		more += l.Remaining(e.before + e.generated)
 		p.charge(now, e, more)
-		e.charged += more
 	}
+	p.tell(now, e, e.work())
 }
 
 // Finish implements [dispatch.Policy].
@@ -422,6 +426,7 @@
 		work = 1
 	}
 	p.charge(now, e, work-e.charged)
+	p.tell(now, e, work)
 	e.pool.allowance += preemptShare * work
 	if r.Outcome != request.Unreachable && r.Outcome != request.Rejected {
 		e.ran = request.MayHaveRun
