exchange: carry the uses by which hosts draw the line of shedding

Cause: the scheduler compares organisations' use over hosts, and the exchange dropped it. Uses are told as values like the others; the sum of a zone keeps an evenly spread sample. The simulation now exchanges states as the relays do: each 250 ms in a zone, sums each 600 ms between zones.

--- a/internal/fleet/exchange/flatten.go
+++ b/internal/fleet/exchange/flatten.go
@@ -3,6 +3,8 @@
 package exchange
 
 import (
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -15,6 +17,7 @@
 const (
 	levels      kind = 'L'
 	queues      kind = 'Q'
+	uses        kind = 'U'
 	outstanding kind = 'O'
 	served      kind = 'S'
 	waits       kind = 'W'
@@ -22,12 +25,12 @@
 )
 
 // kinds lists all kinds, the most urgent first.
-var kinds = []kind{levels, marks, queues, outstanding, waits, served}
+var kinds = []kind{levels, marks, queues, uses, outstanding, waits, served}
 
 // key names one value: its kind and the names that it belongs to.
 type key struct {
 	kind kind
-	// a, b and c are, by kind: pool and level; pool, class and count; server; class and organisation; class; fingerprint.
+	// a, b and c are, by kind: pool and level; pool, class and count; pool, class and place; server; class and organisation; class; fingerprint.
 	a, b, c string
 }
 
@@ -64,6 +67,19 @@
 	}
 }
 
+// least is the place of a class's least use.
+const least = "l"
+
+// setUses keeps the uses of a class, one more each, so that none is left out as zero.
+func (v values) setUses(pool, class string, c dispatch.ClassState) {
+	if c.Waiting > 0 {
+		v.set(key{uses, pool, class, least}, int64(c.LeastUse)+1)
+	}
+	for i, u := range c.Uses {
+		v.set(key{uses, pool, class, strconv.Itoa(i)}, int64(u)+1)
+	}
+}
+
 // flatten returns the values of h. Waiting, Running and Used follow from others and are left out.
 func flatten(h *dispatch.HostState) values {
 	v := values{}
@@ -74,6 +90,7 @@
 			v.set(key{queues, pool, class, waiting}, int64(c.Waiting))
 			v.set(key{queues, pool, class, sheddable}, int64(c.Sheddable))
 			v.set(key{queues, pool, class, running}, int64(c.Running))
+			v.setUses(pool, class, c)
 		}
 	}
 	for server, n := range h.Outstanding {
@@ -117,7 +134,7 @@
 
 func put(h dispatch.HostState, k key, n int64) dispatch.HostState {
 	switch k.kind {
-	case levels, queues:
+	case levels, queues, uses:
 		h.Pools[k.a] = putPool(h, h.Pools[k.a], k, n)
 	case outstanding:
 		h.Outstanding[k.a] = int(n)
@@ -144,6 +161,10 @@
 		return p
 	}
 	c := p.Classes[k.b]
+	if k.kind == uses {
+		p.Classes[k.b] = putUse(c, k.c, float64(n-1))
+		return p
+	}
 	switch k.c {
 	case waiting:
 		c.Waiting = int(n)
@@ -157,3 +178,13 @@
 	p.Classes[k.b] = c
 	return p
 }
+
+func putUse(c dispatch.ClassState, place string, use float64) dispatch.ClassState {
+	if place == least {
+		c.LeastUse = use
+		return c
+	}
+	i, _ := slices.BinarySearch(c.Uses, use)
+	c.Uses = slices.Insert(c.Uses, i, use)
+	return c
+}
--- a/internal/fleet/exchange/sum.go
+++ b/internal/fleet/exchange/sum.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"shallotramp/internal/traffic/dispatch"
@@ -111,6 +113,7 @@
 		t.Applied = lower(t.Applied, p.Applied)
 		for class, c := range p.Classes {
 			d := t.Classes[class]
+			addUses(&d, &c)
 			d.Waiting += c.Waiting
 			d.Sheddable += c.Sheddable
 			d.Running += c.Running
@@ -126,6 +129,35 @@
 	}
 }
 
+// usesKept bounds the sample of uses of a sum.
+const usesKept = 8
+
+// addUses merges the uses of c into those of sum, before its counts are added.
+func addUses(sum, c *dispatch.ClassState) {
+	if c.Waiting > 0 && (sum.Waiting == 0 || c.LeastUse < sum.LeastUse) {
+		sum.LeastUse = c.LeastUse
+	}
+	type part struct{ use, count float64 }
+	var all []part
+	for _, s := range []*dispatch.ClassState{sum, c} {
+		for _, u := range s.Uses {
+			all = append(all, part{u, float64(s.Sheddable) / float64(len(s.Uses))})
+		}
+	}
+	slices.SortFunc(all, func(a, b part) int { return cmp.Compare(a.use, b.use) })
+	total := float64(sum.Sheddable + c.Sheddable)
+	n := min(usesKept, sum.Sheddable+c.Sheddable)
+	sum.Uses = nil
+	var before float64
+	for _, p := range all {
+		before += p.count
+		// Each use that is kept stands for an equal part of what waits.
+		for len(sum.Uses) < n && (float64(len(sum.Uses))+0.5)*total/float64(n) <= before {
+			sum.Uses = append(sum.Uses, p.use)
+		}
+	}
+}
+
 // higher returns the higher of two tiers, where 1 is the highest and 0 is none.
 func higher(a, b int) int {
 	if a == 0 || b != 0 && b < a {
--- a/internal/traffic/scheduler/sim_test.go
+++ b/internal/traffic/scheduler/sim_test.go
@@ -11,6 +11,7 @@
 
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/fleet/exchange"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/queue"
 	"shallotramp/internal/traffic/request"
@@ -18,6 +19,7 @@
 
 const (
 	simExchange   = 250 * time.Millisecond
+	simZones      = 600 * time.Millisecond
 	simDelay      = 20 * time.Millisecond
 	simHop        = time.Millisecond
 	simInterval   = 25 * time.Millisecond
@@ -97,6 +99,7 @@
 type simHost struct {
 	name   string
 	zone   string
+	others *exchange.Sum
 	policy dispatch.Policy
 }
 
@@ -139,7 +142,7 @@
 	s.configure()
 	for i := range d.hosts {
 		zone := fmt.Sprintf("zone-%d", i%d.zones)
-		h := &simHost{name: fmt.Sprintf("host-%d", i), zone: zone, policy: policy(i, zone)}
+		h := &simHost{name: fmt.Sprintf("host-%d", i), zone: zone, others: exchange.NewSum(), policy: policy(i, zone)}
 		s.hosts = append(s.hosts, h)
 		s.carry(h.policy.Configure(s.now, s.snap))
 	}
@@ -205,6 +208,7 @@
 		offset := time.Duration(i) * 37 * time.Millisecond
 		s.every(offset, 50*time.Millisecond, func() { s.carry(h.policy.Tick(s.now)) })
 		s.every(offset, simExchange, func() { s.exchange(h) })
+		s.every(offset, simZones, func() { s.exchangeZones(h) })
 	}
 	for i, e := range s.engines {
 		s.every(time.Duration(i)*90*time.Millisecond, time.Second, func() { s.report(e) })
@@ -224,12 +228,22 @@
 	st := h.policy.State(s.now)
 	st.Host, st.Zone, st.At = h.name, h.zone, s.now
 	for _, o := range s.hosts {
-		if o != h {
+		if o != h && o.zone == h.zone {
 			s.at(simDelay, func() { s.carry(o.policy.Peer(s.now, st)) })
 		}
+		if o.zone != h.zone {
+			o.others.Put(s.now, &st)
+		}
 	}
 }
 
+// exchangeZones tells a host the sum of the hosts of other zones.
+func (s *sim) exchangeZones(h *simHost) {
+	st := h.others.State()
+	st.Host, st.At = "other-zones", s.now
+	s.at(2*simDelay, func() { s.carry(h.policy.Peer(s.now, st)) })
+}
+
 func (s *sim) report(e *simEngine) {
 	if e.down {
 		return
