limit: organisations' limits over all hosts

Each host holds a share of a limit by its part of the demand, which hosts tell each other; an eighth is shared evenly for demand that moves. Requests over a limit wait up to 1 s, then are refused with the time until there is allowance. What a host told counts for ten minutes after it was last heard, so cut-off hosts keep their shares. The exchange carries demand and the number of hosts in a sum.

--- a/internal/fleet/exchange/flatten.go
+++ b/internal/fleet/exchange/flatten.go
@@ -22,15 +22,17 @@
 	served      kind = 'S'
 	waits       kind = 'W'
 	marks       kind = 'M'
+	demand      kind = 'D'
+	hosts       kind = 'H'
 )
 
 // kinds lists all kinds, the most urgent first.
-var kinds = []kind{levels, marks, queues, uses, outstanding, waits, served}
+var kinds = []kind{levels, hosts, marks, queues, uses, outstanding, demand, waits, served}
 
 // key names one value: its kind and the names that it belongs to.
 type key struct {
 	kind kind
-	// a, b and c are, by kind: pool and level; pool, class and count; pool, class and place; server; class and organisation; class; fingerprint.
+	// a, b and c are, by kind: pool and level; pool, class and count; pool, class and place; server; organisation and rate; class and organisation; class; fingerprint.
 	a, b, c string
 }
 
@@ -56,8 +58,16 @@
 	waiting   = "w"
 	sheddable = "s"
 	running   = "r"
+
+	requestRate = "r"
+	tokenRate   = "t"
+	streams     = "s"
+	hostCount   = "n"
 )
 
+// rateScale is the unit of told rates: thousandths per second.
+const rateScale = 1000
+
 // values are the values of a state by key. Zero values are left out.
 type values map[key]int64
 
@@ -104,6 +114,12 @@
 			v.set(key{served, class, org, ""}, n)
 		}
 	}
+	for org, d := range h.Demand {
+		v.set(key{demand, org, requestRate, ""}, int64(d.Requests*rateScale))
+		v.set(key{demand, org, tokenRate, ""}, int64(d.Tokens*rateScale))
+		v.set(key{demand, org, streams, ""}, int64(d.Streams))
+	}
+	v.set(key{kind: hosts, a: hostCount}, int64(h.Hosts))
 	for f, n := range h.Marked {
 		v.set(key{kind: marks, a: fingerprint(f)}, int64(n))
 	}
@@ -115,6 +131,7 @@
 	h := dispatch.HostState{
 		Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{}, Outstanding: map[string]int{},
 		Used: map[string]int64{}, Marked: map[uint64]int{}, Pools: map[string]dispatch.PoolState{}, Served: map[string]map[string]int64{},
+		Demand: map[string]dispatch.Demand{},
 	}
 	for k, n := range v {
 		h = put(h, k, n)
@@ -140,6 +157,10 @@
 		h.Outstanding[k.a] = int(n)
 	case waits:
 		h.OldestWait[k.a] = time.Duration(n) * time.Millisecond
+	case demand:
+		h.Demand[k.a] = putDemand(h.Demand[k.a], k.b, n)
+	case hosts:
+		h.Hosts = int(n)
 	case marks:
 		if f, ok := parseFingerprint(k.a); ok {
 			h.Marked[f] = int(n)
@@ -179,6 +200,18 @@
 	return p
 }
 
+func putDemand(d dispatch.Demand, name string, n int64) dispatch.Demand {
+	switch name {
+	case requestRate:
+		d.Requests = float64(n) / rateScale
+	case tokenRate:
+		d.Tokens = float64(n) / rateScale
+	case streams:
+		d.Streams = int(n)
+	}
+	return d
+}
+
 func putUse(c dispatch.ClassState, place string, use float64) dispatch.ClassState {
 	if place == least {
 		c.LeastUse = use
--- a/internal/fleet/exchange/sum.go
+++ b/internal/fleet/exchange/sum.go
@@ -82,6 +82,7 @@
 	for class, orgs := range s.served {
 		out.Served[class] = maps.Clone(orgs)
 	}
+	out.Demand = map[string]dispatch.Demand{}
 	first := true
 	for _, a := range s.sources {
 		for class, d := range a.last.OldestWait {
@@ -90,6 +91,11 @@
 		for server, n := range a.last.Outstanding {
 			out.Outstanding[server] += n
 		}
+		out.Hosts += max(1, a.last.Hosts)
+		for org, d := range a.last.Demand {
+			e := out.Demand[org]
+			out.Demand[org] = dispatch.Demand{Requests: e.Requests + d.Requests, Tokens: e.Tokens + d.Tokens, Streams: e.Streams + d.Streams}
+		}
 		for f, n := range a.last.Marked {
 			out.Marked[f] = max(out.Marked[f], n)
 		}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -54,6 +54,18 @@
 	// Served counts tokens of work done since the host started, by class and organisation. Totals
 	// never fall; entries that have not changed of late may be missing.
 	Served map[string]map[string]int64
+	// Hosts counts the hosts that the state sums up; 0 is 1.
+	Hosts int
+	// Demand by organisations that have a limit.
+	Demand map[string]Demand
+}
+
+// Demand is what an organisation asks for, granted or not.
+type Demand struct {
+	// Requests and Tokens are rates per second.
+	Requests, Tokens float64
+	// Streams counts requests that were admitted and have not ended.
+	Streams int
 }
 
 // PoolState is what a host tells of a pool.
--- a/internal/traffic/scheduler/entry.go
+++ b/internal/traffic/scheduler/entry.go
@@ -28,6 +28,12 @@
 	isolate bool
 	// charged is the work that the organisation was charged for the running attempt.
 	charged float64
+	// admitted requests count for their organisation's limit, with the tokens expected; used are those used.
+	admitted bool
+	tokens   float64
+	used     int
+	// retryAfter is set when a limit refuses the request.
+	retryAfter time.Duration
 	// told is the part of its work that other hosts are told.
 	told float64
 	// generated counts the tokens of the running attempt, and before those of earlier ones.
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -27,6 +27,7 @@
 		pl.merge(h.Host, &told)
 	}
 	p.credit(now, q, h.Served)
+	p.limit.Peer(now, h.Host, h.Hosts, h.Demand)
 	return p.drainAll(now)
 }
 
@@ -68,6 +69,7 @@
 
 // forgetPeers drops what hosts told that were not heard of late.
 func (p *Policy) forgetPeers(now time.Time) {
+	p.limit.Forget(now)
 	for host, q := range p.peers {
 		if now.Sub(q.heard) <= peerLifetime {
 			continue
@@ -90,6 +92,7 @@
 		At: now, Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{},
 		Outstanding: p.chooser.Outstanding(), Pools: map[string]dispatch.PoolState{},
 		Served: p.served.recent(now), Used: p.served.used(now), Marked: p.suspect.Marks(),
+		Hosts: 1, Demand: p.limit.Demand(now),
 	}
 	for name, pl := range p.pools {
 		s := pl.state(now)
--- a/internal/traffic/scheduler/pool.go
+++ b/internal/traffic/scheduler/pool.go
@@ -143,6 +143,14 @@
 	return queue.Work(e.req.PromptTokens, n)
 }
 
+// tokens returns the expected input and output of a new request.
+func (p *pool) tokens(e *entry) float64 {
+	if !p.engine {
+		return 0
+	}
+	return p.estimate(e) + (1-queue.PromptShare)*float64(e.req.PromptTokens)
+}
+
 // due returns the latest start of an arriving request that meets its latency target.
 func (p *pool) due(e *entry) time.Time {
 	c := p.q.Class(e.req.Class)
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/traffic/balance"
 	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/limit"
 	"shallotramp/internal/traffic/queue"
 	"shallotramp/internal/traffic/request"
 	"shallotramp/internal/traffic/retry"
@@ -35,6 +36,7 @@
 	chooser Chooser
 	retry   *retry.Policy
 	suspect *suspect.Tracker
+	limit   *limit.Limiter
 	// isolated names the suspected request that each server runs.
 	isolated map[string]request.ID
 	pools    map[string]*pool
@@ -62,6 +64,7 @@
 		rnd:      rand.New(rand.NewPCG(seed, 0)),
 		retry:    retry.New(seed),
 		suspect:  suspect.New(),
+		limit:    limit.New(),
 		isolated: map[string]request.ID{},
 		pools:    map[string]*pool{},
 		entries:  map[request.ID]*entry{},
@@ -83,6 +86,7 @@
 	p.snap = s
 	p.chooser.Configure(now, s)
 	p.retry.Configure(s)
+	p.limit.Configure(s)
 	weights := map[string]float64{}
 	for name, o := range s.Set.Organisations {
 		weights[name] = o.Weight
@@ -153,6 +157,9 @@
 		return []dispatch.Effect{p.refuse(now, e, dispatch.NoServer, "no server of the pool is configured")}
 	}
 	e.pool = p.pools[r.Pool]
+	if out, ok := p.admit(now, e); !ok {
+		return out
+	}
 	if out, ok := p.hold(now, e); ok {
 		return out
 	}
@@ -163,6 +170,23 @@
 	return p.settle(now, e.pool)
 }
 
+// admit checks the organisation's limit. It reports whether the request goes on at once.
+func (p *Policy) admit(now time.Time, e *entry) ([]dispatch.Effect, bool) {
+	e.tokens = e.pool.tokens(e)
+	v := p.limit.Admit(now, e.req.Organisation, e.tokens)
+	switch {
+	case !v.OK:
+		e.retryAfter = v.RetryAfter
+		return []dispatch.Effect{p.refuse(now, e, dispatch.OverLimit, v.Why)}, false
+	case v.Wait > 0:
+		e.admitted = true
+		p.delay(e, now.Add(v.Wait))
+		return nil, false
+	}
+	e.admitted = true
+	return nil, true
+}
+
 // feasible reports whether a request may give its first token before its deadline.
 func (p *Policy) feasible(now time.Time, e *entry) bool {
 	least := time.Duration(e.pool.class(e.req.Class).prefill.or(0) / 2 * float64(time.Second))
@@ -335,7 +359,10 @@
 	p.undelay(e)
 	p.forget(e)
 	out := dispatch.Effect{Kind: dispatch.Refuse, ID: e.req.ID, Reason: reason, RetryAfter: leastRetry, Ran: e.ran, Why: why}
-	if e.pool != nil && reason != dispatch.KeyWithdrawn {
+	switch {
+	case e.retryAfter > 0:
+		out.RetryAfter = e.retryAfter + time.Duration(p.rnd.Float64()/2*float64(e.retryAfter))
+	case e.pool != nil && reason != dispatch.KeyWithdrawn:
 		out.RetryAfter = e.pool.retryAfter(e.req.Class, p.slots(e.pool), p.rnd.Float64())
 	}
 	return out
@@ -360,6 +387,9 @@
 func (p *Policy) forget(e *entry) {
 	delete(p.entries, e.req.ID)
 	p.retry.Forget(e.req.ID)
+	if e.admitted {
+		p.limit.Done(e.req.Organisation, float64(e.used)-e.tokens)
+	}
 }
 
 func (p *Policy) undelay(e *entry) {
@@ -432,6 +462,7 @@
 		e.ran = request.MayHaveRun
 	}
 	e.before += r.Delivered
+	e.used += r.PromptTokens + r.OutputTokens
 	if r.Outcome == request.Completed {
 		e.pool.observe(e, r)
 	}
