balance: leave places of other zones' servers to the hosts there while these have work waiting

Cause: what a host knows of other zones is 0.6 s late and summed, so hosts filled other zones' servers at once and the first tier waited there.

--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -38,6 +38,8 @@
 	peers    map[string]*peer
 	// contenders is the weight of the other hosts by zone.
 	contenders map[string]float64
+	// farWaits counts the hosts and sums of other zones that have work waiting.
+	farWaits int
 	// heard is the mean time between two reports of a host, in seconds.
 	heard     mean
 	peersSeen time.Time
@@ -85,9 +87,11 @@
 // peer is what another host last told.
 type peer struct {
 	// at is by the other host's clock, heard by this one's.
-	at, heard   time.Time
-	zone        string
-	weight      float64
+	at, heard time.Time
+	zone      string
+	weight    float64
+	// waits tells that it has work waiting.
+	waits       bool
 	outstanding map[string]int
 }
 
@@ -297,12 +301,34 @@
 		b.heard.add(min(maxHeard, now.Sub(p.heard)).Seconds())
 	}
 	b.contenders[p.zone] -= p.weight
+	b.farWaits -= b.farWait(p)
 	old := p.outstanding
 	p.at, p.heard, p.zone, p.weight, p.outstanding = h.At, now, h.Zone, weightOf(h), h.Outstanding
+	p.waits = waits(h)
+	b.farWaits += b.farWait(p)
 	b.contenders[p.zone] += p.weight
 	b.shift(now, old, h.Outstanding)
 }
 
+// farWait is 1 for a host, or a sum of hosts, of another zone with work waiting.
+func (b *Balancer) farWait(p *peer) int {
+	if p.waits && p.zone != b.zone {
+		return 1
+	}
+	return 0
+}
+
+func waits(h dispatch.HostState) bool {
+	for _, p := range h.Pools {
+		for _, c := range p.Classes {
+			if c.Waiting > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // weightOf tells how much of the servers' room a host may want before it is heard again.
 func weightOf(h dispatch.HostState) float64 {
 	for _, n := range h.Waiting {
@@ -357,6 +383,7 @@
 	for _, name := range gone {
 		p := b.peers[name]
 		delete(b.peers, name)
+		b.farWaits -= b.farWait(p)
 		b.contenders[p.zone] = max(0, b.contenders[p.zone]-p.weight)
 		b.shift(now, p.outstanding, nil)
 	}
--- a/internal/traffic/balance/server.go
+++ b/internal/traffic/balance/server.go
@@ -23,6 +23,8 @@
 	// overcommit is the share of a server's places that the first tier may use beyond the others:
 	// an engine that is filled a little more is slower, but a first token need not wait for a place.
 	overcommit = 0.25
+	// farSpare is the share of a server's places that hosts of other zones leave free.
+	farSpare = 0.3
 	// fullSpeed is the relative speed from which a server is filled as configured.
 	fullSpeed = 0.8
 )
@@ -214,13 +216,13 @@
 }
 
 // room returns how much room the server has for one more attempt of this host.
-func (v *server) room(now time.Time, contenders float64) level {
+func (v *server) room(now time.Time, contenders float64, spare int) level {
 	if !v.available(now) {
 		return closed
 	}
 	limit := v.limit(now)
 	free := limit - v.outstanding(now)
-	if free > 0 && (contenders <= 0 || v.grant > 0 || v.own < int(float64(limit)/(1+contenders))) {
+	if free > spare && (contenders <= 0 || v.grant > 0 || v.own < int(float64(limit)/(1+contenders))) {
 		return roomy
 	}
 	if free+int(overcommit*float64(limit)) > 0 {
@@ -229,6 +231,15 @@
 	return closed
 }
 
+// spare is how many places of a server of another zone are left to the hosts there while they have
+// work waiting: what this host knows of them is late.
+func (b *Balancer) spare(now time.Time, v *server) int {
+	if v.spec.Zone == b.zone || b.farWaits == 0 {
+		return 0
+	}
+	return int(math.Ceil(farSpare * float64(v.limit(now))))
+}
+
 // update brings the server's place in the lists up to date.
 func (b *Balancer) update(now time.Time, v *server) {
 	if v.removed {
@@ -244,7 +255,7 @@
 	if contenders > 0 && now.Sub(v.grantAt) >= b.shareInterval() {
 		b.share(now, v, contenders)
 	}
-	if l := v.room(now, contenders); l != v.level {
+	if l := v.room(now, contenders, b.spare(now, v)); l != v.level {
 		v.list(b.zone, l)
 	}
 	if v.level != roomy && !v.gone && !v.leaving {
