--- a/internal/fleet/exchange/sum.go
+++ b/internal/fleet/exchange/sum.go
@@ -84,7 +84,9 @@
 	}
 	out.Demand = map[string]dispatch.Demand{}
 	first := true
-	for _, a := range s.sources {
+	// The order decides the sample of uses, which must be the same in each run.
+	for _, name := range slices.Sorted(maps.Keys(s.sources)) {
+		a := s.sources[name]
 		for class, d := range a.last.OldestWait {
 			out.OldestWait[class] = max(out.OldestWait[class], d)
 		}
--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -53,12 +53,23 @@
 }
 
 func newClass(name string) *Class {
-	byUse := func(a, b *flow) bool { return a.used < b.used }
+	byUse := func(a, b *flow) bool {
+		if a.used != b.used {
+			return a.used < b.used
+		}
+		return a.name < b.name
+	}
+	byClaim := func(a, b *flow) bool {
+		if a.claim != b.claim {
+			return a.claim > b.claim
+		}
+		return a.name < b.name
+	}
 	return &Class{
 		Name: name, PeerLeast: -1, flows: map[string]*flow{},
 		ready:   NewHeap(byUse, func(f *flow, i int) { f.readyPlace = i }),
 		late:    NewHeap(byUse, func(f *flow, i int) { f.latePlace = i }),
-		longest: NewHeap(func(a, b *flow) bool { return a.claim > b.claim }, func(f *flow, i int) { f.longestPlace = i }),
+		longest: NewHeap(byClaim, func(f *flow, i int) { f.longestPlace = i }),
 		most:    NewHeap(func(a, b *flow) bool { return a.used > b.used }, func(f *flow, i int) { f.usePlace = i }),
 		due:     NewHeap(func(a, b *Item) bool { return a.Due.Before(b.Due) }, func(it *Item, i int) { it.duePlace = i }),
 		expiry:  NewHeap(func(a, b *Item) bool { return a.Request.Deadline.Before(b.Request.Deadline) }, func(it *Item, i int) { it.expiryPlace = i }),
@@ -149,7 +160,7 @@
 }
 
 // Entitled is the share of the most use of an organisation below which another had clearly less.
-const Entitled = 0.95
+const Entitled = 0.97
 
 // head returns the item to start next: of the organisation with the least use. Work in time goes
 // before late work, unless that is of an organisation that had clearly less.
@@ -215,7 +226,7 @@
 	// yieldShare is how much more than that of another host an organisation may have had to go first.
 	yieldShare = 1.3
 	// yieldTime is how long a class leaves a free place to another host.
-	yieldTime = 600 * time.Millisecond
+	yieldTime = 1200 * time.Millisecond
 )
 
 // yields reports whether the class leaves a place to work of another host, of an organisation
