--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -160,7 +160,7 @@
 }
 
 // Entitled is the share of the most use of an organisation below which another had clearly less.
-const Entitled = 0.97
+const Entitled = 0.98
 
 // head returns the item to start next: of the organisation with the least use. Work in time goes
 // before late work, unless that is of an organisation that had clearly less.
@@ -224,9 +224,9 @@
 
 const (
 	// yieldShare is how much more than that of another host an organisation may have had to go first.
-	yieldShare = 1.3
+	yieldShare = 1.05
 	// yieldTime is how long a class leaves a free place to another host.
-	yieldTime = 1200 * time.Millisecond
+	yieldTime = 1500 * time.Millisecond
 )
 
 // yields reports whether the class leaves a place to work of another host, of an organisation
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -16,7 +16,7 @@
 	// PromptShare is the work of an input token relative to an output token.
 	PromptShare = 0.1
 	// useMemory is the time after which work that an organisation had counts 1/e.
-	useMemory = 600 * time.Second
+	useMemory = 900 * time.Second
 	// maxGrowth bounds the scale of the decayed sums before they are rebased.
 	maxGrowth = 1e12
 	// ServiceWindow is the longest time for which a host leaves a class with waiting work without a start.
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -277,7 +277,7 @@
 }
 
 // reserveShare is the share of a pool's places that only its first tier may use.
-const reserveShare = 0.1
+const reserveShare = 0.15
 
 // room reports whether work of a rank may start: a server has room, and lower tiers leave the
 // first one some places, so that it need not wait for a long answer to end.
--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -78,7 +78,7 @@
 	// wantShare is the share of what may wait of a tier at which lower tiers are held back.
 	wantShare = 0.5
 	// hardShare relates what may wait of a tier at most to what can meet its target.
-	hardShare = 10
+	hardShare = 30
 	// levelHold is how long a level stays after nobody wants it.
 	levelHold = 2 * time.Second
 	// settleTime is how long all hosts have applied a level before work of its tier is shed.
