--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -67,6 +67,8 @@
 // its level for a while, so that no lower tier is served beyond its floor meanwhile.
 type level struct {
 	wanted, applied int
+	// wantedAt is when any host was last known to want a level.
+	wantedAt time.Time
 	// until is when an applied level ends that nobody wants any more.
 	until time.Time
 	// agreed is since when all hosts apply the level agreedOn or a higher tier.
@@ -82,7 +84,7 @@
 	// levelHold is how long a level stays after nobody wants it.
 	levelHold = 2 * time.Second
 	// settleTime is how long all hosts have applied a level before work of its tier is shed.
-	settleTime = 300 * time.Millisecond
+	settleTime = time.Second
 )
 
 // assess updates the level of the pool.
@@ -99,6 +101,13 @@
 	for _, s := range p.peers {
 		want = higher(want, s.Wanted)
 	}
+	if want != 0 {
+		if now.Sub(l.wantedAt) > levelHold/2 {
+			// Another host may have let its level go, and what it told is late.
+			l.agreed = now
+		}
+		l.wantedAt = now
+	}
 	if want != 0 && (l.applied == 0 || want <= l.applied) || !now.Before(l.until) {
 		l.applied, l.until = want, now.Add(levelHold)
 	}
