scheduler: serve starving classes by the fleet's last start, not each host's

Cause: each host started work of a class each 5 s, so six hosts gave low classes several times their floors, at the first tier's cost when a zone was gone.

--- a/internal/fleet/exchange/flatten.go
+++ b/internal/fleet/exchange/flatten.go
@@ -58,6 +58,7 @@
 	waiting   = "w"
 	sheddable = "s"
 	running   = "r"
+	started   = "n"
 
 	requestRate = "r"
 	tokenRate   = "t"
@@ -100,6 +101,7 @@
 			v.set(key{queues, pool, class, waiting}, int64(c.Waiting))
 			v.set(key{queues, pool, class, sheddable}, int64(c.Sheddable))
 			v.set(key{queues, pool, class, running}, int64(c.Running))
+			v.set(key{queues, pool, class, started}, int64(c.Started))
 			v.setUses(pool, class, c)
 		}
 	}
@@ -192,6 +194,8 @@
 		h.Waiting[k.b] += int(n)
 	case sheddable:
 		c.Sheddable = int(n)
+	case started:
+		c.Started = int(n)
 	case running:
 		c.Running = int(n)
 		h.Running[k.b] += int(n)
--- a/internal/fleet/exchange/sum.go
+++ b/internal/fleet/exchange/sum.go
@@ -125,6 +125,7 @@
 			d.Waiting += c.Waiting
 			d.Sheddable += c.Sheddable
 			d.Running += c.Running
+			d.Started += c.Started
 			t.Classes[class] = d
 		}
 		sum[name] = t
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -80,6 +80,8 @@
 type ClassState struct {
 	// Waiting counts requests that wait, Sheddable those of them that have not run.
 	Waiting, Sheddable, Running int
+	// Started counts the attempts since the host started.
+	Started int
 	// LeastUse is the recent work, in tokens by weight, of the organisation that is next, when Waiting is not 0.
 	LeastUse float64
 	// Uses samples, in ascending order, the work that comes before each sheddable request: what its
--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -35,6 +35,8 @@
 	Running, PeerRunning, PeerWaiting int
 	// LastStart is when work of the class was last started, or when work came to wait in an idle class.
 	LastStart time.Time
+	// Starts counts the attempts on this host.
+	Starts int
 	// PeerLeast is the least use of an organisation whose work waits on another host; negative if none does.
 	PeerLeast float64
 
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -19,8 +19,10 @@
 	useMemory = 900 * time.Second
 	// maxGrowth bounds the scale of the decayed sums before they are rebased.
 	maxGrowth = 1e12
-	// ServiceWindow is the longest time for which a host leaves a class with waiting work without a start.
-	ServiceWindow = 5 * time.Second
+	// serviceWindow is the longest time for which a class with waiting work is left without a start.
+	serviceWindow = 5 * time.Second
+	// windowSpread spreads the ends of that time over hosts, so that not all of them start work then.
+	windowSpread = 2 * time.Second
 )
 
 // Work returns the tokens of work of an input and an output.
@@ -81,13 +83,16 @@
 
 // Queue is the waiting work of one pool on one host. It is used by one goroutine.
 type Queue struct {
+	window  time.Duration
 	classes map[string]*Class
 	order   []*Class
 	weights map[string]float64
 }
 
-// New returns an empty Queue.
-func New() *Queue { return &Queue{classes: map[string]*Class{}} }
+// New returns an empty Queue. spread, from 0 to 1, differs between hosts.
+func New(spread float64) *Queue {
+	return &Queue{classes: map[string]*Class{}, window: serviceWindow + time.Duration(spread*float64(windowSpread))}
+}
 
 // Level is the configuration of one class.
 type Level struct {
@@ -191,6 +196,7 @@
 func (q *Queue) Started(now time.Time, class string) {
 	c := q.Class(class)
 	c.Running++
+	c.Starts++
 	c.LastStart = now
 	c.yielded = time.Time{}
 }
@@ -267,7 +273,7 @@
 		if c.waiting == 0 {
 			continue
 		}
-		if now.Sub(c.LastStart) >= ServiceWindow || float64(c.Running+c.PeerRunning) < c.Floor*float64(slots) && !c.yields(now) {
+		if now.Sub(c.LastStart) >= q.window || float64(c.Running+c.PeerRunning) < c.Floor*float64(slots) && !c.yields(now) {
 			return c
 		}
 	}
--- a/internal/traffic/scheduler/measure_test.go
+++ b/internal/traffic/scheduler/measure_test.go
@@ -68,7 +68,7 @@
 
 func TestTrial(t *testing.T) {
 	for _, d := range []deployment{threadwell(), zhaiyk()} {
-		for name, f := range map[string]faults{"no fault": {}} {
+		for name, f := range map[string]faults{"zone gone": {zone: true}, "no fault": {}} {
 			begun := time.Now()
 			s := newSim(d, f, 10*time.Minute, seedEnv(), ours)
 			o := s.run()
@@ -78,11 +78,11 @@
 				if j.req.Tier == 1 && !s.met(j) && j.over {
 					switch {
 					case j.completed && j.first.Sub(j.req.Arrived) > time.Duration(j.load.spec.FirstToken):
-						why[fmt.Sprintf("late, queued %v", j.begun.Sub(j.req.Arrived) > time.Duration(j.load.spec.FirstToken/2))]++
+						why[j.req.Zone+j.host.zone+fmt.Sprintf("late, queued %v", j.begun.Sub(j.req.Arrived) > time.Duration(j.load.spec.FirstToken/2))]++
 					case j.completed:
-						why["slow"]++
+						why[j.host.zone+"slow"]++
 					default:
-						why["refused"]++
+						why[j.host.zone+"refused"]++
 					}
 				}
 			}
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -24,7 +24,7 @@
 	q.heard = now
 	for name, pl := range p.pools {
 		told := h.Pools[name]
-		pl.merge(h.Host, &told)
+		pl.merge(now, h.Host, &told)
 	}
 	p.credit(now, q, h.Served)
 	p.limit.Peer(now, h.Host, h.Hosts, h.Demand)
@@ -76,7 +76,7 @@
 		}
 		p.chooser.Peer(now, dispatch.HostState{Host: host, At: now})
 		for _, pl := range p.pools {
-			pl.merge(host, nil)
+			pl.merge(now, host, nil)
 		}
 		// Their totals stay known, so that a host heard again is not charged twice.
 		q.heard = now.Add(forgetAgain)
--- a/internal/traffic/scheduler/pool.go
+++ b/internal/traffic/scheduler/pool.go
@@ -53,9 +53,9 @@
 	line float64
 }
 
-func newPool(name string) *pool {
+func newPool(name string, spread float64) *pool {
 	return &pool{
-		name: name, q: queue.New(), stats: map[string]*stats{}, peers: map[string]dispatch.PoolState{},
+		name: name, q: queue.New(spread), stats: map[string]*stats{}, peers: map[string]dispatch.PoolState{},
 		delayed: queue.NewHeap(func(a, b *entry) bool { return a.notBefore.Before(b.notBefore) }, func(e *entry, i int) { e.delayPlace = i }),
 		victims: queue.NewHeap(cheaperVictim, func(e *entry, i int) { e.victimPlace = i }),
 	}
@@ -192,10 +192,11 @@
 }
 
 // merge replaces what host told of the pool; nil forgets the host.
-func (p *pool) merge(host string, told *dispatch.PoolState) {
+func (p *pool) merge(now time.Time, host string, told *dispatch.PoolState) {
 	for name, s := range p.peers[host].Classes {
 		p.add(name, s, -1)
 	}
+	old := p.peers[host].Classes
 	delete(p.peers, host)
 	defer p.least()
 	if told == nil {
@@ -204,6 +205,9 @@
 	p.peers[host] = *told
 	for name, s := range told.Classes {
 		p.add(name, s, 1)
+		if s.Started > old[name].Started {
+			p.q.Class(name).LastStart = now
+		}
 	}
 }
 
@@ -230,8 +234,8 @@
 func (p *pool) state(now time.Time) dispatch.PoolState {
 	out := dispatch.PoolState{Wanted: p.level.wanted, Applied: p.level.applied, Classes: map[string]dispatch.ClassState{}}
 	for _, c := range p.q.Classes() {
-		s := dispatch.ClassState{Waiting: c.Waiting(), Sheddable: c.Sheddable(), Running: c.Running, LeastUse: c.LeastUse(now), Uses: c.Uses(now, usesTold)}
-		if s.Waiting+s.Running > 0 {
+		s := dispatch.ClassState{Waiting: c.Waiting(), Sheddable: c.Sheddable(), Running: c.Running, Started: c.Starts, LeastUse: c.LeastUse(now), Uses: c.Uses(now, usesTold)}
+		if s.Waiting+s.Running+s.Started > 0 {
 			out.Classes[c.Name] = s
 		}
 	}
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -94,7 +94,7 @@
 	p.server = map[string]*pool{}
 	for name, spec := range s.Set.Pools {
 		if p.pools[name] == nil {
-			p.pools[name] = newPool(name)
+			p.pools[name] = newPool(name, p.rnd.Float64())
 		}
 		p.pools[name].configure(now, s, spec, weights)
 		for _, b := range s.Servers(name) {
@@ -514,6 +514,9 @@
 // Tick implements [dispatch.Policy].
 func (p *Policy) Tick(now time.Time) []dispatch.Effect {
 	p.forgetPeers(now)
+	for _, pl := range p.pools {
+		pl.draw(now, p.slots(pl))
+	}
 	return p.drainAll(now)
 }
 
@@ -521,7 +524,6 @@
 func (p *Policy) drainAll(now time.Time) []dispatch.Effect {
 	var out []dispatch.Effect
 	for _, pl := range p.byName() {
-		pl.draw(now, p.slots(pl))
 		out = append(out, p.release(now, pl)...)
 		for _, it := range pl.q.Pass(now) {
 			p.waiting--
