--- a/internal/fleet/exchange/sum.go
+++ b/internal/fleet/exchange/sum.go
@@ -1,7 +1,9 @@
 package exchange
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"shallotramp/internal/traffic/dispatch"
@@ -80,14 +82,22 @@
 	for class, orgs := range s.served {
 		out.Served[class] = maps.Clone(orgs)
 	}
+	out.Demand = map[string]dispatch.Demand{}
 	first := true
-	for _, a := range s.sources {
+	// The order decides the sample of uses, which must be the same in each run.
+	for _, name := range slices.Sorted(maps.Keys(s.sources)) {
+		a := s.sources[name]
 		for class, d := range a.last.OldestWait {
 			out.OldestWait[class] = max(out.OldestWait[class], d)
 		}
 		for server, n := range a.last.Outstanding {
 			out.Outstanding[server] += n
 		}
+		out.Hosts += max(1, a.last.Hosts)
+		for org, d := range a.last.Demand {
+			e := out.Demand[org]
+			out.Demand[org] = dispatch.Demand{Requests: e.Requests + d.Requests, Tokens: e.Tokens + d.Tokens, Streams: e.Streams + d.Streams}
+		}
 		for f, n := range a.last.Marked {
 			out.Marked[f] = max(out.Marked[f], n)
 		}
@@ -111,9 +121,11 @@
 		t.Applied = lower(t.Applied, p.Applied)
 		for class, c := range p.Classes {
 			d := t.Classes[class]
+			addUses(&d, &c)
 			d.Waiting += c.Waiting
 			d.Sheddable += c.Sheddable
 			d.Running += c.Running
+			d.Started += c.Started
 			t.Classes[class] = d
 		}
 		sum[name] = t
@@ -126,6 +138,35 @@
 	}
 }
 
+// usesKept bounds the sample of uses of a sum.
+const usesKept = 8
+
+// addUses merges the uses of c into those of sum, before its counts are added.
+func addUses(sum, c *dispatch.ClassState) {
+	if c.Waiting > 0 && (sum.Waiting == 0 || c.LeastUse < sum.LeastUse) {
+		sum.LeastUse = c.LeastUse
+	}
+	type part struct{ use, count float64 }
+	var all []part
+	for _, s := range []*dispatch.ClassState{sum, c} {
+		for _, u := range s.Uses {
+			all = append(all, part{u, float64(s.Sheddable) / float64(len(s.Uses))})
+		}
+	}
+	slices.SortFunc(all, func(a, b part) int { return cmp.Compare(a.use, b.use) })
+	total := float64(sum.Sheddable + c.Sheddable)
+	n := min(usesKept, sum.Sheddable+c.Sheddable)
+	sum.Uses = nil
+	var before float64
+	for _, p := range all {
+		before += p.count
+		// Each use that is kept stands for an equal part of what waits.
+		for len(sum.Uses) < n && (float64(len(sum.Uses))+0.5)*total/float64(n) <= before {
+			sum.Uses = append(sum.Uses, p.use)
+		}
+	}
+}
+
 // higher returns the higher of two tiers, where 1 is the highest and 0 is none.
 func higher(a, b int) int {
 	if a == 0 || b != 0 && b < a {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -51,9 +51,21 @@
 	Marked map[uint64]int
 	// Pools tells of the queue and running work of each pool.
 	Pools map[string]PoolState
-	// Served counts tokens of work since the host started, by class and organisation; entries
-	// that have not changed of late may be missing.
+	// Served counts tokens of work done since the host started, by class and organisation. Totals
+	// never fall; entries that have not changed of late may be missing.
 	Served map[string]map[string]int64
+	// Hosts counts the hosts that the state sums up; 0 is 1.
+	Hosts int
+	// Demand by organisations that have a limit.
+	Demand map[string]Demand
+}
+
+// Demand is what an organisation asks for, granted or not.
+type Demand struct {
+	// Requests and Tokens are rates per second.
+	Requests, Tokens float64
+	// Streams counts requests that were admitted and have not ended.
+	Streams int
 }
 
 // PoolState is what a host tells of a pool.
@@ -68,6 +80,13 @@
 type ClassState struct {
 	// Waiting counts requests that wait, Sheddable those of them that have not run.
 	Waiting, Sheddable, Running int
+	// Started counts the attempts since the host started.
+	Started int
+	// LeastUse is the recent work, in tokens by weight, of the organisation that is next, when Waiting is not 0.
+	LeastUse float64
+	// Uses samples, in ascending order, the work that comes before each sheddable request: what its
+	// organisation had of late and what of it waits ahead, in tokens by weight.
+	Uses []float64
 }
 
 // RefusalReason tells why a request is refused.
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -16,11 +16,13 @@
 	// PromptShare is the work of an input token relative to an output token.
 	PromptShare = 0.1
 	// useMemory is the time after which work that an organisation had counts 1/e.
-	useMemory = 30 * time.Second
+	useMemory = 900 * time.Second
 	// maxGrowth bounds the scale of the decayed sums before they are rebased.
 	maxGrowth = 1e12
-	// ServiceWindow is the longest time for which a host leaves a class with waiting work without a start.
-	ServiceWindow = 5 * time.Second
+	// serviceWindow is the longest time for which a class with waiting work is left without a start.
+	serviceWindow = 5 * time.Second
+	// windowSpread spreads the ends of that time over hosts, so that not all of them start work then.
+	windowSpread = 2 * time.Second
 )
 
 // Work returns the tokens of work of an input and an output.
@@ -81,13 +83,16 @@
 
 // Queue is the waiting work of one pool on one host. It is used by one goroutine.
 type Queue struct {
+	window  time.Duration
 	classes map[string]*Class
 	order   []*Class
 	weights map[string]float64
 }
 
-// New returns an empty Queue.
-func New() *Queue { return &Queue{classes: map[string]*Class{}} }
+// New returns an empty Queue. spread, from 0 to 1, differs between hosts.
+func New(spread float64) *Queue {
+	return &Queue{classes: map[string]*Class{}, window: serviceWindow + time.Duration(spread*float64(windowSpread))}
+}
 
 // Level is the configuration of one class.
 type Level struct {
@@ -191,7 +196,9 @@
 func (q *Queue) Started(now time.Time, class string) {
 	c := q.Class(class)
 	c.Running++
+	c.Starts++
 	c.LastStart = now
+	c.yielded = time.Time{}
 }
 
 // Ended notes that a running item of the class ended.
@@ -226,7 +233,10 @@
 		if s.Level > 0 && c.Tier > s.Level || ahead > 0 && ahead >= s.Free || !s.Room(c.Rank) {
 			return nil, false
 		}
-		return q.firstOfTier(i).head(), false
+		if c = q.firstOfTier(i); c.yields(now) {
+			return nil, false
+		}
+		return c.head(), false
 	}
 	return nil, false
 }
@@ -263,7 +273,7 @@
 		if c.waiting == 0 {
 			continue
 		}
-		if float64(c.Running+c.PeerRunning) < c.Floor*float64(slots) || now.Sub(c.LastStart) >= ServiceWindow {
+		if now.Sub(c.LastStart) >= q.window || float64(c.Running+c.PeerRunning) < c.Floor*float64(slots) && !c.yields(now) {
 			return c
 		}
 	}
@@ -284,12 +294,19 @@
 	return out
 }
 
-// Shed removes items of a class until at most keep wait that may be shed, and returns them.
-// Organisations that had less than their share keep theirs up to hard.
-func (q *Queue) Shed(now time.Time, c *Class, keep, hard int) []*Item {
+// Cut tells which items are shed: those before which at least Line comes, in tokens by weight,
+// and that arrived at Since or later.
+type Cut struct {
+	Line  float64
+	Since time.Time
+}
+
+// Shed removes the items of a class that a cut does not spare, until keep of those wait that may be
+// shed, and returns them.
+func (q *Queue) Shed(now time.Time, c *Class, keep int, by Cut) []*Item {
 	var out []*Item
 	for c.Sheddable() > keep {
-		it := c.victim(c.Sheddable() > hard)
+		it := c.victim(now, by)
 		if it == nil {
 			break
 		}
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -24,9 +24,10 @@
 	q.heard = now
 	for name, pl := range p.pools {
 		told := h.Pools[name]
-		pl.merge(h.Host, &told)
+		pl.merge(now, h.Host, &told)
 	}
 	p.credit(now, q, h.Served)
+	p.limit.Peer(now, h.Host, h.Hosts, h.Demand)
 	return p.drainAll(now)
 }
 
@@ -39,9 +40,9 @@
 			q.served[class] = seen
 		}
 		for org, total := range orgs {
-			// A smaller total is that of a host that started anew.
 			work := total - seen[org]
-			if total < seen[org] {
+			if work < 0 {
+				// The host started anew.
 				work = total
 			}
 			seen[org] = total
@@ -68,13 +69,14 @@
 
 // forgetPeers drops what hosts told that were not heard of late.
 func (p *Policy) forgetPeers(now time.Time) {
+	p.limit.Forget(now)
 	for host, q := range p.peers {
 		if now.Sub(q.heard) <= peerLifetime {
 			continue
 		}
 		p.chooser.Peer(now, dispatch.HostState{Host: host, At: now})
 		for _, pl := range p.pools {
-			pl.merge(host, nil)
+			pl.merge(now, host, nil)
 		}
 		// Their totals stay known, so that a host heard again is not charged twice.
 		q.heard = now.Add(forgetAgain)
@@ -90,9 +92,10 @@
 		At: now, Waiting: map[string]int{}, Running: map[string]int{}, OldestWait: map[string]time.Duration{},
 		Outstanding: p.chooser.Outstanding(), Pools: map[string]dispatch.PoolState{},
 		Served: p.served.recent(now), Used: p.served.used(now), Marked: p.suspect.Marks(),
+		Hosts: 1, Demand: p.limit.Demand(now),
 	}
 	for name, pl := range p.pools {
-		s := pl.state()
+		s := pl.state(now)
 		out.Pools[name] = s
 		for class, c := range s.Classes {
 			out.Waiting[class] += c.Waiting
--- a/internal/traffic/scheduler/pool.go
+++ b/internal/traffic/scheduler/pool.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"shallotramp/internal/catalog/object"
@@ -48,11 +49,13 @@
 	orgs             map[string]*queue.Lengths
 	// peerSheddable counts the waiting requests of other hosts that have not run.
 	peerSheddable int
+	// line is the use from which waiting requests are shed.
+	line float64
 }
 
-func newPool(name string) *pool {
+func newPool(name string, spread float64) *pool {
 	return &pool{
-		name: name, q: queue.New(), stats: map[string]*stats{}, peers: map[string]dispatch.PoolState{},
+		name: name, q: queue.New(spread), stats: map[string]*stats{}, peers: map[string]dispatch.PoolState{},
 		delayed: queue.NewHeap(func(a, b *entry) bool { return a.notBefore.Before(b.notBefore) }, func(e *entry, i int) { e.delayPlace = i }),
 		victims: queue.NewHeap(cheaperVictim, func(e *entry, i int) { e.victimPlace = i }),
 	}
@@ -97,7 +100,7 @@
 func (p *pool) class(name string) *stats {
 	st, ok := p.stats[name]
 	if !ok {
-		st = &stats{orgs: map[string]*queue.Lengths{}}
+		st = &stats{orgs: map[string]*queue.Lengths{}, line: math.Inf(1)}
 		p.stats[name] = st
 	}
 	return st
@@ -140,6 +143,14 @@
 	return queue.Work(e.req.PromptTokens, n)
 }
 
+// tokens returns the expected input and output of a new request.
+func (p *pool) tokens(e *entry) float64 {
+	if !p.engine {
+		return 0
+	}
+	return p.estimate(e) + (1-queue.PromptShare)*float64(e.req.PromptTokens)
+}
+
 // due returns the latest start of an arriving request that meets its latency target.
 func (p *pool) due(e *entry) time.Time {
 	c := p.q.Class(e.req.Class)
@@ -181,17 +192,34 @@
 }
 
 // merge replaces what host told of the pool; nil forgets the host.
-func (p *pool) merge(host string, told *dispatch.PoolState) {
+func (p *pool) merge(now time.Time, host string, told *dispatch.PoolState) {
 	for name, s := range p.peers[host].Classes {
 		p.add(name, s, -1)
 	}
+	old := p.peers[host].Classes
 	delete(p.peers, host)
+	defer p.least()
 	if told == nil {
 		return
 	}
 	p.peers[host] = *told
 	for name, s := range told.Classes {
 		p.add(name, s, 1)
+		if s.Started > old[name].Started {
+			p.q.Class(name).LastStart = now
+		}
+	}
+}
+
+// least finds the least use of an organisation that waits on another host.
+func (p *pool) least() {
+	for _, c := range p.q.Classes() {
+		c.PeerLeast = -1
+		for _, s := range p.peers {
+			if t := s.Classes[c.Name]; t.Waiting > 0 && (c.PeerLeast < 0 || t.LeastUse < c.PeerLeast) {
+				c.PeerLeast = t.LeastUse
+			}
+		}
 	}
 }
 
@@ -203,11 +231,11 @@
 }
 
 // state returns what the host tells of the pool.
-func (p *pool) state() dispatch.PoolState {
+func (p *pool) state(now time.Time) dispatch.PoolState {
 	out := dispatch.PoolState{Wanted: p.level.wanted, Applied: p.level.applied, Classes: map[string]dispatch.ClassState{}}
 	for _, c := range p.q.Classes() {
-		s := dispatch.ClassState{Waiting: c.Waiting(), Sheddable: c.Sheddable(), Running: c.Running}
-		if s != (dispatch.ClassState{}) {
+		s := dispatch.ClassState{Waiting: c.Waiting(), Sheddable: c.Sheddable(), Running: c.Running, Started: c.Starts, LeastUse: c.LeastUse(now), Uses: c.Uses(now, usesTold)}
+		if s.Waiting+s.Running+s.Started > 0 {
 			out.Classes[c.Name] = s
 		}
 	}
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -5,9 +5,6 @@
 package scheduler
 
 import (
-	"os"
-	"strconv"
-
 	"math/rand/v2"
 	"sort"
 	"time"
@@ -15,6 +12,7 @@
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/traffic/balance"
 	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/limit"
 	"shallotramp/internal/traffic/queue"
 	"shallotramp/internal/traffic/request"
 	"shallotramp/internal/traffic/retry"
@@ -38,6 +36,7 @@
 	chooser Chooser
 	retry   *retry.Policy
 	suspect *suspect.Tracker
+	limit   *limit.Limiter
 	// isolated names the suspected request that each server runs.
 	isolated map[string]request.ID
 	pools    map[string]*pool
@@ -65,6 +64,7 @@
 		rnd:      rand.New(rand.NewPCG(seed, 0)),
 		retry:    retry.New(seed),
 		suspect:  suspect.New(),
+		limit:    limit.New(),
 		isolated: map[string]request.ID{},
 		pools:    map[string]*pool{},
 		entries:  map[request.ID]*entry{},
@@ -86,6 +86,7 @@
 	p.snap = s
 	p.chooser.Configure(now, s)
 	p.retry.Configure(s)
+	p.limit.Configure(s)
 	weights := map[string]float64{}
 	for name, o := range s.Set.Organisations {
 		weights[name] = o.Weight
@@ -93,7 +94,7 @@
 	p.server = map[string]*pool{}
 	for name, spec := range s.Set.Pools {
 		if p.pools[name] == nil {
-			p.pools[name] = newPool(name)
+			p.pools[name] = newPool(name, p.rnd.Float64())
 		}
 		p.pools[name].configure(now, s, spec, weights)
 		for _, b := range s.Servers(name) {
@@ -156,6 +157,9 @@
 		return []dispatch.Effect{p.refuse(now, e, dispatch.NoServer, "no server of the pool is configured")}
 	}
 	e.pool = p.pools[r.Pool]
+	if out, ok := p.admit(now, e); !ok {
+		return out
+	}
 	if out, ok := p.hold(now, e); ok {
 		return out
 	}
@@ -166,6 +170,23 @@
 	return p.settle(now, e.pool)
 }
 
+// admit checks the organisation's limit. It reports whether the request goes on at once.
+func (p *Policy) admit(now time.Time, e *entry) ([]dispatch.Effect, bool) {
+	e.tokens = e.pool.tokens(e)
+	v := p.limit.Admit(now, e.req.Organisation, e.tokens)
+	switch {
+	case !v.OK:
+		e.retryAfter = v.RetryAfter
+		return []dispatch.Effect{p.refuse(now, e, dispatch.OverLimit, v.Why)}, false
+	case v.Wait > 0:
+		e.admitted = true
+		p.delay(e, now.Add(v.Wait))
+		return nil, false
+	}
+	e.admitted = true
+	return nil, true
+}
+
 // feasible reports whether a request may give its first token before its deadline.
 func (p *Policy) feasible(now time.Time, e *entry) bool {
 	least := time.Duration(e.pool.class(e.req.Class).prefill.or(0) / 2 * float64(time.Second))
@@ -209,7 +230,7 @@
 	if class == nil {
 		return nil
 	}
-	if items := from.q.Shed(now, class, class.Sheddable()-1, 0); len(items) > 0 {
+	if items := from.q.Shed(now, class, class.Sheddable()-1, queue.Cut{}); len(items) > 0 {
 		return items[0]
 	}
 	return nil
@@ -238,7 +259,7 @@
 			break
 		}
 		e := p.entries[it.Request.ID]
-		name, why, ok := p.choose(now, e)
+		name, why, ok := p.choose(now, e, floor)
 		p.unqueue(now, e)
 		if !ok {
 			aside = append(aside, e)
@@ -256,14 +277,7 @@
 }
 
 // reserveShare is the share of a pool's places that only its first tier may use.
-var reserveShare = envf("RES", 0.1)
-
-func envf(n string, d float64) float64 {
-	if v, err := strconv.ParseFloat(os.Getenv(n), 64); err == nil {
-		return v
-	}
-	return d
-}
+const reserveShare = 0.15
 
 // room reports whether work of a rank may start: a server has room, and lower tiers leave the
 // first one some places, so that it need not wait for a long answer to end.
@@ -282,17 +296,24 @@
 const floorWhy = "floor of the class; "
 
 // choose asks for a server, at first without those that failed the request before.
-func (p *Policy) choose(now time.Time, e *entry) (name, why string, ok bool) {
+// A floor's start may take the places that are kept for the first tier.
+func (p *Policy) choose(now time.Time, e *entry, floor bool) (name, why string, ok bool) {
 	if e.isolate {
 		return p.chooseApart(now, e)
 	}
-	if name, why, ok = p.chooser.Choose(now, e.req, e.exclude); ok || len(e.exclude) == 0 {
+	r := e.req
+	if floor {
+		first := *r
+		first.Tier = e.pool.q.Classes()[0].Tier
+		r = &first
+	}
+	if name, why, ok = p.chooser.Choose(now, r, e.exclude); ok || len(e.exclude) == 0 {
 		return name, why, ok
 	}
 	if len(e.exclude) < p.chooser.Usable(e.req.Pool) {
 		return "", "", false
 	}
-	return p.chooser.Choose(now, e.req, nil)
+	return p.chooser.Choose(now, r, nil)
 }
 
 func (p *Policy) unqueue(now time.Time, e *entry) {
@@ -306,8 +327,8 @@
 	e.server, e.started = server, now
 	e.starts++
 	e.generated = 0
-	e.charged = e.item.Cost
-	p.charge(now, e, e.charged)
+	e.charged, e.told = 0, 0
+	p.charge(now, e, e.item.Cost)
 	e.pool.q.Started(now, e.req.Class)
 	p.chooser.Started(now, e.req, server)
 	p.suspect.Started(now, e.req.Fingerprint, e.req.ID, server)
@@ -318,9 +339,18 @@
 	return dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: server, Attempt: e.starts, Why: why}
 }
 
+// charge adds expected work to what the organisation had, or takes it back when negative.
 func (p *Policy) charge(now time.Time, e *entry, work float64) {
+	e.charged += work
 	e.pool.q.Charge(now, e.req.Class, e.req.Organisation, work)
-	p.served.add(now, e.req.Class, e.req.Organisation, work)
+}
+
+// tell adds work that was done to what other hosts are told. Estimates are not told, so that totals never fall.
+func (p *Policy) tell(now time.Time, e *entry, work float64) {
+	if work > e.told {
+		p.served.add(now, e.req.Class, e.req.Organisation, work-e.told)
+		e.told = work
+	}
 }
 
 // refuse forgets a request, which waits nowhere any more, and answers its caller.
@@ -329,7 +359,10 @@
 	p.undelay(e)
 	p.forget(e)
 	out := dispatch.Effect{Kind: dispatch.Refuse, ID: e.req.ID, Reason: reason, RetryAfter: leastRetry, Ran: e.ran, Why: why}
-	if e.pool != nil && reason != dispatch.KeyWithdrawn {
+	switch {
+	case e.retryAfter > 0:
+		out.RetryAfter = e.retryAfter + time.Duration(p.rnd.Float64()/2*float64(e.retryAfter))
+	case e.pool != nil && reason != dispatch.KeyWithdrawn:
 		out.RetryAfter = e.pool.retryAfter(e.req.Class, p.slots(e.pool), p.rnd.Float64())
 	}
 	return out
@@ -354,6 +387,9 @@
 func (p *Policy) forget(e *entry) {
 	delete(p.entries, e.req.ID)
 	p.retry.Forget(e.req.ID)
+	if e.admitted {
+		p.limit.Done(e.req.Organisation, float64(e.used)-e.tokens)
+	}
 }
 
 func (p *Policy) undelay(e *entry) {
@@ -378,8 +414,8 @@
 		l := e.pool.class(e.req.Class).lengthsOf(e.req.Organisation)
 		more += l.Remaining(e.before + e.generated)
 		p.charge(now, e, more)
-		e.charged += more
 	}
+	p.tell(now, e, e.work())
 }
 
 // Finish implements [dispatch.Policy].
@@ -420,11 +456,13 @@
 		work = 1
 	}
 	p.charge(now, e, work-e.charged)
+	p.tell(now, e, work)
 	e.pool.allowance += preemptShare * work
 	if r.Outcome != request.Unreachable && r.Outcome != request.Rejected {
 		e.ran = request.MayHaveRun
 	}
 	e.before += r.Delivered
+	e.used += r.PromptTokens + r.OutputTokens
 	if r.Outcome == request.Completed {
 		e.pool.observe(e, r)
 	}
@@ -476,6 +514,9 @@
 // Tick implements [dispatch.Policy].
 func (p *Policy) Tick(now time.Time) []dispatch.Effect {
 	p.forgetPeers(now)
+	for _, pl := range p.pools {
+		pl.draw(now, p.slots(pl))
+	}
 	return p.drainAll(now)
 }
 
--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"math"
+	"sort"
 	"time"
 
 	"shallotramp/internal/traffic/queue"
@@ -65,6 +67,8 @@
 // its level for a while, so that no lower tier is served beyond its floor meanwhile.
 type level struct {
 	wanted, applied int
+	// wantedAt is when any host was last known to want a level.
+	wantedAt time.Time
 	// until is when an applied level ends that nobody wants any more.
 	until time.Time
 	// agreed is since when all hosts apply the level agreedOn or a higher tier.
@@ -75,12 +79,12 @@
 const (
 	// wantShare is the share of what may wait of a tier at which lower tiers are held back.
 	wantShare = 0.5
-	// hardShare relates what may wait of a tier at most, also of organisations that had less than others, to what can meet its target.
-	hardShare = 3
+	// hardShare relates what may wait of a tier at most to what can meet its target.
+	hardShare = 30
 	// levelHold is how long a level stays after nobody wants it.
-	levelHold = time.Second
+	levelHold = 2 * time.Second
 	// settleTime is how long all hosts have applied a level before work of its tier is shed.
-	settleTime = 300 * time.Millisecond
+	settleTime = time.Second
 )
 
 // assess updates the level of the pool.
@@ -97,6 +101,13 @@
 	for _, s := range p.peers {
 		want = higher(want, s.Wanted)
 	}
+	if want != 0 {
+		if now.Sub(l.wantedAt) > levelHold/2 {
+			// Another host may have let its level go, and what it told is late.
+			l.agreed = now
+		}
+		l.wantedAt = now
+	}
 	if want != 0 && (l.applied == 0 || want <= l.applied) || !now.Before(l.until) {
 		l.applied, l.until = want, now.Add(levelHold)
 	}
@@ -134,12 +145,16 @@
 func (p *pool) overload(now time.Time, slots int) []*queue.Item {
 	var out []*queue.Item
 	l := &p.level
-	hosts := 1 + len(p.peers)
 	for _, o := range p.outlooks(slots) {
 		settled := l.agreedOn > 0 && l.agreedOn <= o.class.Tier && now.Sub(l.agreed) >= settleTime
 		lowest := o.class.Tier == p.lowestTier()
 		if o.waiting > o.allowed && (settled || lowest) {
-			out = append(out, p.q.Shed(now, o.class, o.share(o.allowed, hosts), o.share(hardShare*o.allowed, hosts))...)
+			by := queue.Cut{Line: p.class(o.class.Name).line}
+			if !lowest {
+				// What arrived before may have waited while lower tiers were served.
+				by.Since = l.agreed
+			}
+			out = append(out, p.q.Shed(now, o.class, 0, by)...)
 		}
 	}
 	return out
@@ -150,14 +165,56 @@
 	return classes[len(classes)-1].Tier
 }
 
-// share returns how many of n requests of the class may wait on this host: in proportion to
-// what waits here, and no less than an equal share.
-func (o outlook) share(n, hosts int) int {
-	own := 0
-	if o.waiting > 0 {
-		own = n * o.class.Sheddable() / o.waiting
+// draw finds the lines by which classes with too much waiting work are shed: on all hosts
+// together, about as many requests as may wait come before the line in fair order. Hosts draw
+// nearly the same line, so the organisations with the most use lose, wherever their work waits.
+func (p *pool) draw(now time.Time, slots int) {
+	for _, o := range p.outlooks(slots) {
+		st := p.class(o.class.Name)
+		st.line = math.Inf(1)
+		if o.waiting <= o.allowed {
+			continue
+		}
+		list := p.samples(now, o.class)
+		allowed := float64(max(o.allowed, 1+len(p.peers)))
+		st.line = lineOf(list, allowed)
+		// Organisations that had clearly less than others may rather be late, within bounds.
+		spared := min(queue.Entitled*o.class.MostUse(now), lineOf(list, hardShare*allowed))
+		st.line = max(st.line, spared)
+	}
+}
+
+// sample is a use that a number of waiting requests have.
+type sample struct{ use, count float64 }
+
+// samples collects the uses of what waits on all hosts.
+func (p *pool) samples(now time.Time, c *queue.Class) []sample {
+	var out []sample
+	add := func(uses []float64, n int) {
+		for _, u := range uses {
+			out = append(out, sample{u, float64(n) / float64(len(uses))})
+		}
+	}
+	add(c.Uses(now, usesTold), c.Sheddable())
+	for _, s := range p.peers {
+		t := s.Classes[c.Name]
+		add(t.Uses, t.Sheddable)
+	}
+	return out
+}
+
+// usesTold bounds the sample of uses told to other hosts.
+const usesTold = 8
+
+// lineOf returns the use before which n of the sampled requests come.
+func lineOf(list []sample, n float64) float64 {
+	sort.Slice(list, func(i, j int) bool { return list[i].use < list[j].use })
+	for _, s := range list {
+		if n -= s.count; n < 0 {
+			return s.use
+		}
 	}
-	return max(1, own, n/hosts)
+	return math.Inf(1)
 }
 
 // retryAfter returns when a refused request of a class may be admitted: once the backlog has
