--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -145,7 +145,7 @@
 					v.slowSince = now
 				}
 			}
-			v.adopt(bs, p)
+			v.adopt(bs, p, b.zone)
 			b.servers[bs.Name] = v
 			p.servers = append(p.servers, v)
 		}
@@ -198,6 +198,13 @@
 			p.ejected++
 		}
 	}
+	for _, v := range p.servers {
+		// A smaller pool has a smaller bound.
+		if v.ejected && p.ejected > p.maxEjected() {
+			v.ejected = false
+			p.ejected--
+		}
+	}
 }
 
 // Started notes that an attempt of r was sent to server.
@@ -256,10 +263,10 @@
 	if !ok || l.At.Before(v.reportAt) {
 		return
 	}
-	v.report(l)
+	v.report(l, len(b.peers) > 0)
 	v.cache.report(now, l.CacheSequence)
 	if v.load(l.Loaded) {
-		v.list(b.zone, closed)
+		v.list(closed)
 		v.index(v.pool)
 	}
 	b.update(now, v)
@@ -297,10 +304,10 @@
 		b.heard.add(min(maxHeard, now.Sub(p.heard)).Seconds())
 	}
 	b.contenders[p.zone] -= p.weight
-	old := p.outstanding
+	old, oldZone := p.outstanding, p.zone
 	p.at, p.heard, p.zone, p.weight, p.outstanding = h.At, now, h.Zone, weightOf(h), h.Outstanding
 	b.contenders[p.zone] += p.weight
-	b.shift(now, old, h.Outstanding)
+	b.shift(now, oldZone, h.Zone, old, h.Outstanding)
 }
 
 // weightOf tells how much of the servers' room a host may want before it is heard again.
@@ -319,10 +326,10 @@
 }
 
 // shift replaces one host's outstanding work by server.
-func (b *Balancer) shift(now time.Time, from, to map[string]int) {
+func (b *Balancer) shift(now time.Time, oldZone, zone string, from, to map[string]int) {
 	var names []string
 	for name, n := range to {
-		if from[name] != n {
+		if from[name] != n || zone != oldZone {
 			names = append(names, name)
 		}
 	}
@@ -336,11 +343,20 @@
 	for _, name := range names {
 		if v, ok := b.servers[name]; ok {
 			v.others = max(0, v.others+to[name]-from[name])
+			v.users = max(0, v.users+v.guest(zone, to[name])-v.guest(oldZone, from[name]))
 			b.update(now, v)
 		}
 	}
 }
 
+// guest is 1 for a host of another zone with work on the server.
+func (v *server) guest(zone string, n int) int {
+	if n > 0 && zone != v.spec.Zone {
+		return 1
+	}
+	return 0
+}
+
 // expirePeers forgets hosts that were not heard for long.
 func (b *Balancer) expirePeers(now time.Time) {
 	if now.Sub(b.peersSeen) < time.Second {
@@ -358,7 +374,7 @@
 		p := b.peers[name]
 		delete(b.peers, name)
 		b.contenders[p.zone] = max(0, b.contenders[p.zone]-p.weight)
-		b.shift(now, p.outstanding, nil)
+		b.shift(now, p.zone, p.zone, p.outstanding, nil)
 	}
 }
 
--- a/internal/traffic/balance/cache.go
+++ b/internal/traffic/balance/cache.go
@@ -11,7 +11,7 @@
 	// lateEvents is how long a missing event may still come before the view has to be read whole.
 	lateEvents = 2 * time.Second
 	// partialTrust is what a block counts that is known from a view with gaps.
-	partialTrust = 0.5
+	partialTrust = 0.8
 )
 
 // CacheEvent is a change of a server's prefix cache, or with Whole its content. Blocks are named
--- a/internal/traffic/balance/choose.go
+++ b/internal/traffic/balance/choose.go
@@ -19,7 +19,7 @@
 	// maxOutputFactor bounds how much a caller's bound on the output counts.
 	maxOutputFactor = 4.0
 	// loadCost is how much longer a request takes on a full server than on an empty one.
-	loadCost = 1.0
+	loadCost = 0.25
 	// failureCost in seconds is what each recent failure of a server counts.
 	failureCost = 0.5
 	// priceCost in seconds is what a server of the pool's mean price counts.
@@ -204,9 +204,11 @@
 func (s *search) costOf(v *server, cached int) float64 {
 	uncached := max(0, float64(s.r.PromptTokens)-float64(cached*blockTokens)*v.cache.trust())
 	seconds := uncached * s.p.prefill.or(usualPrefill)
-	seconds += s.service() * (1 + loadCost*v.loadFactor(s.now))
+	// The last places of a server are those where a host that knows too little meets others.
+	u := v.loadFactor(s.now)
+	seconds += s.service() * (1 + loadCost*u*u)
 	seconds /= v.speed
-	if v.spec.Zone != s.b.zone {
+	if v.remote == 1 {
 		seconds += s.b.distance(v.spec.Zone).Seconds()
 	}
 	if s.p.price > 0 {
--- a/internal/traffic/balance/server.go
+++ b/internal/traffic/balance/server.go
@@ -23,6 +23,8 @@
 	// overcommit is the share of a server's places that the first tier may use beyond the others:
 	// an engine that is filled a little more is slower, but a first token need not wait for a place.
 	overcommit = 0.25
+	// foreignWeight is how much a report counts in the mean of unknown work when other hosts are known.
+	foreignWeight = 0.2
 	// fullSpeed is the relative speed from which a server is filled as configured.
 	fullSpeed = 0.8
 )
@@ -53,10 +55,12 @@
 	usable                     bool
 
 	// own and streams count this host's attempts, others those that the peers told of, and foreign
-	// those of the last report that belonged to neither.
-	own, streams, others, foreign int
-	reportAt                      time.Time
-	changes                       []change
+	// those of the load reports that belonged to neither. users counts the peers of other zones
+	// that have work on the server.
+	own, streams, others, users int
+	foreign                     float64
+	reportAt                    time.Time
+	changes                     []change
 	// grant is how many more attempts this host may send before its share is drawn anew.
 	grant   int
 	grantAt time.Time
@@ -88,10 +92,13 @@
 }
 
 // adopt takes the server's configuration.
-func (v *server) adopt(spec *object.BackendServerSpec, p *pool) {
+func (v *server) adopt(spec *object.BackendServerSpec, p *pool, zone string) {
 	v.spec, v.pool = spec, p
 	v.slots, v.level, v.wakeAt, v.wakeIndex = nil, closed, time.Time{}, -1
-	v.cheap = 0
+	v.cheap, v.remote = 0, 0
+	if spec.Zone != zone {
+		v.remote = 1
+	}
 	if spec.Reclaimable {
 		v.cheap = 1
 	}
@@ -139,7 +146,7 @@
 
 // report takes a load report. Own work that began after it was measured is not in it,
 // and own work that ended since still is.
-func (v *server) report(l dispatch.Load) {
+func (v *server) report(l dispatch.Load, peers bool) {
 	then := v.own
 	kept := v.changes[:0]
 	for _, c := range v.changes {
@@ -149,7 +156,12 @@
 		}
 	}
 	v.changes = kept
-	v.foreign = max(0, l.Running+l.Waiting-then-v.others)
+	unknown := float64(l.Running + l.Waiting - then - v.others)
+	if peers {
+		// What the peers told is of another moment than the report: only what stays is others' work.
+		unknown = v.foreign + foreignWeight*(unknown-v.foreign)
+	}
+	v.foreign = max(0, unknown)
 	v.reportAt = l.At
 	v.leavingLoad = l.Leaving
 	if v.gone && l.At.After(v.goneAt) {
@@ -191,7 +203,7 @@
 func (v *server) outstanding(now time.Time) int {
 	n := v.own + v.others
 	if now.Sub(v.reportAt) < staleReport {
-		n += v.foreign
+		n += int(v.foreign)
 	}
 	return n
 }
@@ -220,7 +232,7 @@
 	}
 	limit := v.limit(now)
 	free := limit - v.outstanding(now)
-	if free > 0 && (contenders <= 0 || v.grant > 0 || v.own < int(float64(limit)/(1+contenders))) {
+	if free > 0 && (contenders <= 0 || v.grant > 0 || v.remote == 0 && v.own < int(float64(limit)/(1+contenders))) {
 		return roomy
 	}
 	if free+int(overcommit*float64(limit)) > 0 {
@@ -240,12 +252,12 @@
 		v.usable = ok
 		v.pool.usable += sign(ok)
 	}
-	contenders := b.contenders[v.spec.Zone]
+	contenders := b.contenders[v.spec.Zone] + float64(v.users)
 	if contenders > 0 && now.Sub(v.grantAt) >= b.shareInterval() {
 		b.share(now, v, contenders)
 	}
 	if l := v.room(now, contenders); l != v.level {
-		v.list(b.zone, l)
+		v.list(l)
 	}
 	if v.level != roomy && !v.gone && !v.leaving {
 		b.wake(v, b.wakeTime(now, v))
--- a/internal/traffic/balance/target.go
+++ b/internal/traffic/balance/target.go
@@ -46,7 +46,7 @@
 }
 
 // list moves the server to the lists of its targets for a level.
-func (v *server) list(zone string, to level) {
+func (v *server) list(to level) {
 	if v.level != closed {
 		v.pool.open[v.level][v.cheap]--
 		for i := range v.slots {
@@ -57,10 +57,6 @@
 	if to == closed {
 		return
 	}
-	v.remote = 0
-	if v.spec.Zone != zone {
-		v.remote = 1
-	}
 	v.pool.open[to][v.cheap]++
 	for i := range v.slots {
 		v.slots[i].enter(v, i)
