--- a/internal/engine/load/load_test.go
+++ b/internal/engine/load/load_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -55,14 +56,43 @@
 	f.most = max(f.most, f.atOnce)
 }
 
+func (f *fleet) polled(url string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.polls[url]
+}
+
 // sink keeps what was posted.
 type sink struct {
+	mu     sync.Mutex
 	loads  map[string][]dispatch.Load
 	states []dispatch.ServerState
 }
 
-func (s *sink) Report(l dispatch.Load)         { s.loads[l.Server] = append(s.loads[l.Server], l) }
-func (s *sink) Server(st dispatch.ServerState) { s.states = append(s.states, st) }
+func (s *sink) Report(l dispatch.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads[l.Server] = append(s.loads[l.Server], l)
+}
+
+func (s *sink) Server(st dispatch.ServerState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.states = append(s.states, st)
+}
+
+// reports returns what a server's reports were so far.
+func (s *sink) reports(server string) []dispatch.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.loads[server])
+}
+
+func (s *sink) told() []dispatch.ServerState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.states)
+}
 
 // bench runs a poller of n engines in zones a and b for a while inside a bubble.
 type bench struct {
@@ -104,17 +134,18 @@
 		defer b.stop()
 		time.Sleep(10 * time.Second)
 		convey.Convey("servers of the zone are polled about once a second, models less often", t, func() {
-			convey.So(b.sink.loads, convey.ShouldHaveLength, 2)
-			convey.So(len(b.sink.loads["s0"]), convey.ShouldBeBetween, 7, 13)
-			convey.So(b.fleet.polls["10.0.0.0:80/v1/models"], convey.ShouldBeBetween, 0, 4)
-			l := b.sink.loads["s0"][0]
+			convey.So(b.sink.reports("s1"), convey.ShouldBeEmpty)
+			convey.So(len(b.sink.reports("s0")), convey.ShouldBeBetween, 7, 13)
+			convey.So(len(b.sink.reports("s2")), convey.ShouldBeBetween, 7, 13)
+			convey.So(b.fleet.polled("10.0.0.0:80/v1/models"), convey.ShouldBeBetween, 0, 4)
+			l := b.sink.reports("s0")[0]
 			convey.So(l.Loaded, convey.ShouldResemble, []string{"m"})
 			convey.So(time.Since(l.At), convey.ShouldBeLessThan, 10*time.Second)
 		})
 		b.poller.SetShare(func(server string) bool { return server == "s1" })
 		time.Sleep(2 * time.Second)
 		convey.Convey("another share takes effect", t, func() {
-			convey.So(b.sink.loads["s1"], convey.ShouldNotBeEmpty)
+			convey.So(b.sink.reports("s1"), convey.ShouldNotBeEmpty)
 		})
 	})
 }
@@ -127,17 +158,17 @@
 		time.Sleep(3 * time.Second)
 		e.SetFaults(fake.Faults{Leaving: true})
 		time.Sleep(2 * time.Second)
-		last := b.sink.loads["s0"][len(b.sink.loads["s0"])-1]
+		last := b.sink.reports("s0")[len(b.sink.reports("s0"))-1]
 		e.SetFaults(fake.Faults{Gone: true})
 		time.Sleep(10 * time.Second)
-		gone := append([]dispatch.ServerState(nil), b.sink.states...)
-		n := len(b.sink.loads["s0"])
+		gone := b.sink.told()
+		n := len(b.sink.reports("s0"))
 		e.SetFaults(fake.Faults{})
 		time.Sleep(3 * time.Second)
 		convey.Convey("a notice is in the next report, silence is told once, and a return is a report", t, func() {
 			convey.So(last.Leaving, convey.ShouldBeTrue)
 			convey.So(gone, convey.ShouldResemble, []dispatch.ServerState{{Server: "s0", Zone: "a", Leaving: true, Gone: true}})
-			convey.So(len(b.sink.loads["s0"]), convey.ShouldBeGreaterThan, n)
+			convey.So(len(b.sink.reports("s0")), convey.ShouldBeGreaterThan, n)
 		})
 	})
 }
@@ -150,8 +181,8 @@
 		if b.fleet.most > maxPolls || b.fleet.most < 2 {
 			t.Errorf("%d polls at once", b.fleet.most)
 		}
-		if len(b.sink.states) != 100 {
-			t.Errorf("%d servers of the zone are told gone", len(b.sink.states))
+		if len(b.sink.told()) != 100 {
+			t.Errorf("%d servers of the zone are told gone", len(b.sink.told()))
 		}
 	})
 }
