--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -21,10 +21,6 @@
 const (
 	// bytesPerToken estimates the tokens of a prompt from its size.
 	bytesPerToken = 4
-	// prefixBlockBytes is the size of the blocks by which prompts are compared.
-	prefixBlockBytes = 1024
-	// prefixBlocks bounds the blocks of one prompt that are compared.
-	prefixBlocks = 16
 	// defaultAttempts is the number of tries for idempotent work whose route sets none.
 	defaultAttempts = 3
 )
@@ -175,7 +171,7 @@
 	return d, err == nil && d > 0
 }
 
-// prefixOf hashes the leading blocks of a prompt, each together with all blocks before it.
+// prefixOf hashes the leading blocks of a prompt.
 func prefixOf(body []byte, v gjson.Result) []uint64 {
 	text := v.Get("messages").Raw
 	if text == "" {
@@ -184,14 +180,7 @@
 	if text == "" {
 		text = string(body)
 	}
-	var out []uint64
-	d := xxhash.New()
-	for len(text) >= prefixBlockBytes && len(out) < prefixBlocks {
-		_, _ = d.WriteString(text[:prefixBlockBytes])
-		out = append(out, d.Sum64())
-		text = text[prefixBlockBytes:]
-	}
-	return out
+	return request.PrefixOf(text)
 }
 
 // bodyFor returns the body for a backend server: with its priority, with usage in each event
