dispatch, balance: roles of servers and cache events through the loop

Cause: engines tell what they do (all, read prompts, generate) and what their prefix caches hold. ChoosePair picks a server that reads the prompt and one that imports its KV cache; servers that only read prompts get no whole requests.

--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -265,8 +265,9 @@
 	}
 	v.report(l, len(b.peers) > 0)
 	v.cache.report(now, l.CacheSequence)
-	if v.load(l.Loaded) {
+	if changed := v.load(l.Loaded); changed || v.role != l.Role {
 		v.list(closed)
+		v.role = l.Role
 		v.index(v.pool)
 	}
 	b.update(now, v)
--- a/internal/traffic/balance/cache.go
+++ b/internal/traffic/balance/cache.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"shallotramp/internal/traffic/dispatch"
 )
 
 const (
@@ -14,16 +16,6 @@
 	partialTrust = 0.8
 )
 
-// CacheEvent is a change of a server's prefix cache, or with Whole its content. Blocks are named
-// by the hashes of [request.Request].
-type CacheEvent struct {
-	Server   string
-	Sequence uint64
-	Stored   []uint64
-	Evicted  []uint64
-	Whole    bool
-}
-
 // cacheView is what is known of one server's cache events.
 type cacheView struct {
 	// term changes when all that was known is void.
@@ -112,7 +104,7 @@
 
 // Cache notes a cache event. Events may come late, twice or not at all: a gap is found by the
 // sequence, and mended by the missing event or by a whole view, see [Balancer.Partial].
-func (b *Balancer) Cache(now time.Time, e CacheEvent) {
+func (b *Balancer) Cache(now time.Time, e dispatch.CacheEvent) {
 	v, ok := b.servers[e.Server]
 	if !ok {
 		return
--- a/internal/traffic/balance/choose.go
+++ b/internal/traffic/balance/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
 )
 
@@ -24,6 +25,8 @@
 	failureCost = 0.5
 	// priceCost in seconds is what a server of the pool's mean price counts.
 	priceCost = 0.05
+	// minPairTokens is the smallest part of a prompt not cached that is read by another server.
+	minPairTokens = 1024
 	// sameZoneCost in seconds keeps a retry out of the zone where an attempt failed.
 	sameZoneCost = 0.25
 )
@@ -65,6 +68,7 @@
 	now    time.Time
 	r      *request.Request
 	p      *pool
+	target target
 	list   *targetList
 	cheap  bool
 	level  level
@@ -80,17 +84,48 @@
 	if !ok {
 		return "", "", false
 	}
+	s := b.search(now, r, p, targetOf(r.Model, r.Adapter, r.Version), exclude)
+	if s.best == nil {
+		return "", "", false
+	}
+	return s.best.spec.Name, s.why(), true
+}
+
+// ChoosePair returns a server that reads the prompt of r and one that imports the KV cache and generates
+// the answer. It returns false when the pool has no such servers with room, or the prompt is too short
+// to be worth the transfer; the request then runs whole, see [Balancer.Choose].
+func (b *Balancer) ChoosePair(now time.Time, r *request.Request, exclude []string) (prefill, decode string, ok bool) {
+	b.advance(now)
+	p, ok := b.pools[r.Pool]
+	if !ok {
+		return "", "", false
+	}
+	t := targetOf(r.Model, r.Adapter, r.Version)
+	second := b.search(now, r, p, t, exclude)
+	if second.best == nil || second.best.role != dispatch.Decode {
+		return "", "", false
+	}
+	if r.PromptTokens-b.cache.match(second.best, r.Prefix)*blockTokens < minPairTokens {
+		return "", "", false
+	}
+	t.prefill = true
+	first := b.search(now, r, p, t, exclude)
+	if first.best == nil {
+		return "", "", false
+	}
+	return first.best.spec.Name, second.best.spec.Name, true
+}
+
+// search finds the server for a target.
+func (b *Balancer) search(now time.Time, r *request.Request, p *pool, t target, exclude []string) search {
 	b.exclude.set(b, exclude)
-	s := search{b: b, now: now, r: r, p: p, list: p.target(targetOf(r.Model, r.Adapter, r.Version)), cheap: b.allowsCheap(r.Class)}
+	s := search{b: b, now: now, r: r, p: p, target: t, list: p.target(t), cheap: b.allowsCheap(r.Class)}
 	s.find()
 	if s.best == nil && p.first(r.Tier) {
 		s.level = packed
 		s.find()
 	}
-	if s.best == nil {
-		return "", "", false
-	}
-	return s.best.spec.Name, s.why(), true
+	return s
 }
 
 // find considers servers of the search's level.
@@ -156,7 +191,7 @@
 	if v.cheap == 1 && !s.cheap {
 		return false
 	}
-	return targetOf(s.r.Model, s.r.Adapter, s.r.Version).fits(v)
+	return s.target.fits(v)
 }
 
 // sample considers servers with room, in the host's zone (0) or in others (1).
--- a/internal/traffic/balance/server.go
+++ b/internal/traffic/balance/server.go
@@ -49,6 +49,7 @@
 	removed bool
 	remote  int
 	cheap   int
+	role    dispatch.Role
 
 	leaving, leavingLoad, gone bool
 	goneAt, slowSince          time.Time
--- a/internal/traffic/balance/target.go
+++ b/internal/traffic/balance/target.go
@@ -1,13 +1,23 @@
 package balance
 
+import "shallotramp/internal/traffic/dispatch"
+
 // target is what a request needs to be loaded. The zero value needs nothing.
-type target struct{ model, adapter, version string }
+type target struct {
+	model, adapter, version string
+	// prefill asks for servers that only read prompts.
+	prefill bool
+}
 
-func targetOf(model, adapter, version string) target { return target{model, adapter, version} }
+func targetOf(model, adapter, version string) target {
+	return target{model: model, adapter: adapter, version: version}
+}
 
 // fits reports whether the server has the target loaded.
 func (t target) fits(v *server) bool {
 	switch {
+	case t.prefill != (v.role == dispatch.Prefill):
+		return false
 	case t.model == "" || v.loaded == nil:
 		return true
 	case t.adapter != "" && !v.loaded[t.model+"+"+t.adapter]:
@@ -48,7 +58,7 @@
 // list moves the server to the lists of its targets for a level.
 func (v *server) list(to level) {
 	if v.level != closed {
-		v.pool.open[v.level][v.cheap]--
+		v.count(-1)
 		for i := range v.slots {
 			v.slots[i].leave(v)
 		}
@@ -57,12 +67,19 @@
 	if to == closed {
 		return
 	}
-	v.pool.open[to][v.cheap]++
+	v.count(1)
 	for i := range v.slots {
 		v.slots[i].enter(v, i)
 	}
 }
 
+// count keeps the pool's number of servers with room. Those that only read prompts are not counted.
+func (v *server) count(n int) {
+	if v.role != dispatch.Prefill {
+		v.pool.open[v.level][v.cheap] += n
+	}
+}
+
 func (s *slot) open(v *server) *[]entry { return &s.list.open[v.level][v.remote][v.cheap] }
 
 func (s *slot) enter(v *server, i int) {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -10,7 +10,20 @@
 	"shallotramp/internal/traffic/request"
 )
 
-//go:generate go tool stringer -type EffectKind,RefusalReason -output dispatch_string.go
+//go:generate go tool stringer -type EffectKind,RefusalReason,Role -output dispatch_string.go
+
+// Role is the part of a request's work that a backend server does.
+type Role uint8
+
+// The roles.
+const (
+	// Whole servers do all of a request.
+	Whole Role = iota
+	// Prefill servers read prompts and export their KV cache.
+	Prefill
+	// Decode servers import the KV cache and generate the answer.
+	Decode
+)
 
 // Load is what a backend server reported of itself.
 type Load struct {
@@ -24,6 +37,22 @@
 	// CacheSequence numbers the server's cache events.
 	CacheSequence uint64
 	Leaving       bool
+	Role          Role
+}
+
+// CacheEvent is a change of a server's prefix cache, or with Whole its content. Blocks are named
+// by the hashes of [request.PrefixOf]. Sequence counts a server's events from 1, without gaps when it sends them.
+type CacheEvent struct {
+	Server   string
+	Sequence uint64
+	Stored   []uint64 `json:",omitempty"`
+	Evicted  []uint64 `json:",omitempty"`
+	Whole    bool     `json:",omitempty"`
+}
+
+// CacheObserver is a [Policy] that takes cache events.
+type CacheObserver interface {
+	Cache(now time.Time, e CacheEvent)
 }
 
 // ServerState is what is known of a server's life, from leases, heartbeats and the platform's list.
--- a/internal/traffic/dispatch/loop.go
+++ b/internal/traffic/dispatch/loop.go
@@ -36,6 +36,7 @@
 		last   bool
 	}
 	report     struct{ load Load }
+	cacheEvent struct{ event CacheEvent }
 	server     struct{ state ServerState }
 	peer       struct{ state HostState }
 	stateQuery struct{ answer chan<- HostState }
@@ -86,6 +87,13 @@
 
 func (e report) apply(l *Loop, now time.Time) []Effect { return l.policy.Report(now, e.load) }
 
+func (e cacheEvent) apply(l *Loop, now time.Time) []Effect {
+	if o, ok := l.policy.(CacheObserver); ok {
+		o.Cache(now, e.event)
+	}
+	return nil
+}
+
 func (e server) apply(l *Loop, now time.Time) []Effect { return l.policy.Server(now, e.state) }
 
 func (e peer) apply(l *Loop, now time.Time) []Effect { return l.policy.Peer(now, e.state) }
@@ -224,6 +232,9 @@
 // Report passes on a load report.
 func (l *Loop) Report(r Load) { l.post(report{r}) }
 
+// Cache passes on a cache event, to a policy that is a [CacheObserver].
+func (l *Loop) Cache(e CacheEvent) { l.post(cacheEvent{e}) }
+
 // Server passes on a change in a server's life.
 func (l *Loop) Server(s ServerState) { l.post(server{s}) }
 
