fake, load: cache events late and with gaps, read and mended; late reports, models, cached tokens

Cause: the prefix view needs a source beside what a host sent itself. The stand-in publishes its cache by events (late, with gaps) and as a whole, tells cached tokens, lists adapters with their parent and reports a load of the past. The poller follows the caches of the servers in its share that number their events; after a gap it reads the whole cache, at most each 30 s, for a whole cache of 4,096 blocks is some 80 KB of text.

--- a/internal/engine/fake/answer.go
+++ b/internal/engine/fake/answer.go
@@ -14,6 +14,7 @@
 	w      http.ResponseWriter
 	j      job
 	prompt int
+	cached int
 	text   strings.Builder
 }
 
@@ -25,7 +26,8 @@
 }
 
 func (a *answer) usage(output int) string {
-	return fmt.Sprintf(`{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d}`, a.prompt, output, a.prompt+output)
+	return fmt.Sprintf(`{"prompt_tokens":%d,"completion_tokens":%d,"total_tokens":%d,"prompt_tokens_details":{"cached_tokens":%d}}`,
+		a.prompt, output, a.prompt+output, a.cached)
 }
 
 func (a *answer) begin() {
@@ -132,12 +134,14 @@
 	e.mu.Lock()
 	if e.running < e.cfg.Slots {
 		e.running++
+		e.sampled()
 		e.mu.Unlock()
 		return true
 	}
 	e.waiting.count++
 	w := &waiter{priority: priority, order: e.waiting.count, ready: make(chan struct{})}
 	heap.Push(&e.waiting, w)
+	e.sampled()
 	e.mu.Unlock()
 	select {
 	case <-w.ready:
@@ -149,6 +153,7 @@
 	for i, other := range e.waiting.list {
 		if other == w {
 			heap.Remove(&e.waiting, i)
+			e.sampled()
 			return false
 		}
 	}
@@ -165,6 +170,7 @@
 
 // handOver passes a slot to the next waiter. The caller holds e.mu.
 func (e *Engine) handOver() {
+	defer e.sampled()
 	if e.waiting.Len() == 0 {
 		e.running--
 		return
--- a/internal/engine/fake/engine.go
+++ b/internal/engine/fake/engine.go
@@ -31,6 +31,11 @@
 	Leaving bool
 	// Gone drops each connection.
 	Gone bool
+	// ReportAge is how old the load in the metrics is.
+	ReportAge time.Duration
+	// CacheDelay is how late cache events are, and DropCacheEvents n leaves out each n-th of them; 0 is none.
+	CacheDelay      time.Duration
+	DropCacheEvents int
 }
 
 // Config describes an [Engine].
@@ -42,6 +47,8 @@
 	// TokenInterval is the time of one output token, PrefillToken that of one input token that is not cached.
 	TokenInterval time.Duration
 	PrefillToken  time.Duration
+	// CacheBlocks is how many blocks of prompts are cached; 0 is 4096.
+	CacheBlocks int
 }
 
 // Count is what an engine did for one request id.
@@ -55,28 +62,34 @@
 	cfg Config
 	mux *http.ServeMux
 
-	mu       sync.Mutex
-	faults   Faults
-	waiting  waitList
-	running  int
-	down     time.Time
-	crashed  chan struct{}
-	counts   map[string]Count
-	prefixes map[uint64]bool
-	sequence uint64
+	mu      sync.Mutex
+	faults  Faults
+	waiting waitList
+	running int
+	down    time.Time
+	crashed chan struct{}
+	counts  map[string]Count
+	cache   *cache
+	samples []sample
 }
 
 // NewEngine returns an engine.
 func NewEngine(cfg Config) *Engine {
+	if cfg.CacheBlocks <= 0 {
+		cfg.CacheBlocks = defaultCacheBlocks
+	}
 	e := &Engine{
 		cfg: cfg, mux: http.NewServeMux(), crashed: make(chan struct{}),
-		counts: map[string]Count{}, prefixes: map[uint64]bool{},
+		counts: map[string]Count{}, cache: newCache(cfg.CacheBlocks),
 	}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/completions", e.complete)
 	e.mux.HandleFunc("POST /v1/embeddings", e.embed)
 	e.mux.HandleFunc("GET /v1/models", e.models)
+	e.mux.HandleFunc("PUT /models", e.putModels)
 	e.mux.HandleFunc("GET /metrics", e.metrics)
+	e.mux.HandleFunc("GET /cache", e.serveCache)
+	e.mux.HandleFunc("GET /cache/events", e.serveCacheEvents)
 	e.mux.HandleFunc("GET /counts", e.serveCounts)
 	e.mux.HandleFunc("PUT /faults", e.serveFaults)
 	e.mux.HandleFunc("GET /seen", e.ServeSeen)
@@ -126,46 +139,17 @@
 	_ = json.NewEncoder(w).Encode(e.Counts())
 }
 
-func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
-	type model struct {
-		ID     string `json:"id"`
-		Object string `json:"object"`
-	}
-	out := struct {
-		Object string  `json:"object"`
-		Data   []model `json:"data"`
-	}{Object: "list"}
-	for _, m := range e.cfg.Models {
-		out.Data = append(out.Data, model{m, "model"})
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(out)
-}
-
-// metrics reports the load in the text format and with the names that engines publish.
-func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
-	e.mu.Lock()
-	running, waiting, leaving := e.running, e.waiting.Len(), 0
-	if e.faults.Leaving {
-		leaving = 1
-	}
-	seq := e.sequence
-	e.mu.Unlock()
-	fmt.Fprintf(w, "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running %d\n", running)
-	fmt.Fprintf(w, "# TYPE vllm:num_requests_waiting gauge\nvllm:num_requests_waiting %d\n", waiting)
-	fmt.Fprintf(w, "# TYPE engine_leaving gauge\nengine_leaving %d\n", leaving)
-	fmt.Fprintf(w, "# TYPE engine_cache_sequence counter\nengine_cache_sequence %d\n", seq)
-}
-
 // job is one request in the engine.
 type job struct {
 	id, model, prompt string
-	chat, stream      bool
-	usage, eachUsage  bool
-	maxTokens, from   int
-	priority          int
-	length            int
-	partial           string
+	// prefix is the part of the body whose blocks are cached.
+	prefix           string
+	chat, stream     bool
+	usage, eachUsage bool
+	maxTokens, from  int
+	priority         int
+	length           int
+	partial          string
 }
 
 var ownTokens = regexp.MustCompile(`(w[0-9a-f]{5} )+$`)
@@ -188,6 +172,9 @@
 		j.maxTokens = int(n.Int())
 	}
 	j.prompt = v.Get("prompt").String()
+	if j.prefix = v.Get("messages").Raw; j.prefix == "" {
+		j.prefix = v.Get("prompt").Raw
+	}
 	for _, m := range v.Get("messages").Array() {
 		if v.Get("continue_final_message").Bool() && m.Get("role").String() == "assistant" {
 			j.partial = m.Get("content").String()
@@ -265,12 +252,12 @@
 // run generates the answer; each wait ends early when ctx does.
 func (e *Engine) run(ctx context.Context, w http.ResponseWriter, j job) {
 	prompt := len(strings.Fields(j.prompt))
-	cached := e.prefill(j)
+	cached := e.prefill(j, prompt)
 	if !e.wait(ctx, time.Duration(prompt-cached)*e.cfg.PrefillToken) {
 		panic(http.ErrAbortHandler)
 	}
 	e.count(j.id, Count{Prompt: prompt, Cached: cached})
-	a := answer{w: w, j: j, prompt: prompt}
+	a := answer{w: w, j: j, prompt: prompt, cached: cached}
 	a.begin()
 	for i := j.from; i < j.length; i++ {
 		if !e.wait(ctx, e.cfg.TokenInterval) {
@@ -293,26 +280,15 @@
 	return e.faults.BreakAfter
 }
 
-// blockWords is the length of a cached block of a prompt.
-const blockWords = 64
-
-// prefill caches the blocks of the prompt and returns how many words were cached before.
-func (e *Engine) prefill(j job) int {
-	fields := strings.Fields(j.prompt)
-	h := fnv.New64a()
-	cached := 0
+// prefill caches the prompt's blocks and returns how many of its words were cached before.
+func (e *Engine) prefill(j job, words int) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for i := 0; i+blockWords <= len(fields); i += blockWords {
-		_, _ = h.Write([]byte(strings.Join(fields[i:i+blockWords], " ")))
-		if e.prefixes[h.Sum64()] && cached == i {
-			cached = i + blockWords
-		} else {
-			e.sequence++
-		}
-		e.prefixes[h.Sum64()] = true
+	cached := e.cache.add(j.prefix, e.cfg.CacheBlocks)
+	if cached == 0 {
+		return 0
 	}
-	return cached
+	return words * cached / len(j.prefix)
 }
 
 func (e *Engine) count(id string, add Count) {
@@ -370,4 +346,5 @@
 	e.down = time.Now().Add(d)
 	close(e.crashed)
 	e.crashed = make(chan struct{})
+	e.cache = newCache(e.cfg.CacheBlocks)
 }
--- a/internal/engine/load/load.go
+++ b/internal/engine/load/load.go
@@ -59,6 +59,9 @@
 	servers map[string]*server
 	results chan result
 	polls   int
+	// readers counts the goroutines that follow servers' caches, ended tells of their ends.
+	readers int
+	ended   chan *server
 }
 
 // server is what the poller knows of a backend server.
@@ -71,6 +74,8 @@
 	leaving  bool
 	models   []string
 	modelsAt time.Time
+	// unfollow ends the reader of the server's cache; nil for none.
+	unfollow context.CancelFunc
 }
 
 // result is the end of one poll.
@@ -112,7 +117,7 @@
 	p := &Poller{
 		zone: zone, holder: holder, sink: sink, interval: DefaultInterval, timeout: DefaultTimeout,
 		log: zerolog.Nop(), carry: func(dispatch.Load) {},
-		servers: map[string]*server{}, results: make(chan result, maxPolls),
+		servers: map[string]*server{}, results: make(chan result, maxPolls), ended: make(chan *server),
 		// The transport has no proxy: a server's address is that of the release.
 		client: &http.Client{
 			Transport:     &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute},
@@ -141,11 +146,18 @@
 			p.start(ctx, now)
 		case r := <-p.results:
 			p.polls--
-			p.finish(r)
+			p.finish(ctx, r)
+		case v := <-p.ended:
+			p.readers--
+			v.unfollow()
+			v.unfollow = nil
 		case <-ctx.Done():
 			for ; p.polls > 0; p.polls-- {
 				<-p.results
 			}
+			for ; p.readers > 0; p.readers-- {
+				<-p.ended
+			}
 			p.client.CloseIdleConnections()
 			done <- nil
 			return
@@ -176,6 +188,11 @@
 		v.spec, v.protocol = spec, pool.Protocol
 		p.servers[name] = v
 	}
+	for name, v := range old {
+		if p.servers[name] != v && v.unfollow != nil {
+			v.unfollow()
+		}
+	}
 }
 
 func (p *Poller) mine(v *server) bool {
@@ -206,7 +223,7 @@
 }
 
 // finish posts the result of a poll.
-func (p *Poller) finish(r result) {
+func (p *Poller) finish(ctx context.Context, r result) {
 	v := r.server
 	v.busy = false
 	if p.servers[v.spec.Name] != v {
@@ -230,6 +247,7 @@
 	v.leaving = r.load.Leaving
 	p.sink.Report(r.load)
 	p.carry(r.load)
+	p.follow(ctx, v, r.load.CacheSequence)
 }
 
 // fail counts failed polls. A server that is gone returns with its next report.
--- a/internal/engine/load/load_test.go
+++ b/internal/engine/load/load_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -38,6 +39,9 @@
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
+	if strings.HasSuffix(r.URL.Path, "/events") {
+		return stream(f.engines[r.URL.Host], r), nil
+	}
 	defer func() {
 		if recover() != nil {
 			err = errors.New("connection reset")
@@ -67,6 +71,7 @@
 	mu     sync.Mutex
 	loads  map[string][]dispatch.Load
 	states []dispatch.ServerState
+	events []dispatch.CacheEvent
 }
 
 func (s *sink) Report(l dispatch.Load) {
