balance: spare a class the servers that are too slow for it

Cause: nearly all requests lost with one server slowed fivefold were those sent to it for want of another place: they could only miss their deadline and the 76 ms between tokens. Such a request waits for another server now, if a usual one would be in time. Speeds no longer return to the usual by themselves, which would send a burst there; one request at a time, not of the first of several tiers, finds out whether the server recovered.

--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -179,7 +179,7 @@
 	}
 }
 
-func TestSlowServerIsLearnedAndForgiven(t *testing.T) {
+func TestSlowServerIsLearnedAndRecovers(t *testing.T) {
 	b := newBalancer(1, newSet(4, 8, "a"))
 	now := start
 	for i := range 40 {
@@ -205,16 +205,49 @@
 	for i := range 100 {
 		b.Finished(now, newRequest(1000+i, "batch"), request.Result{Outcome: request.Cancelled})
 	}
-	now = now.Add(5 * time.Second)
-	for range 8 {
-		now = now.Add(relaxAfter)
-		b.update(now, b.servers["s0000"])
+	for i := range 20 {
+		r := newRequest(2000+i, "batch")
+		b.Started(now, r, "s0000")
+		b.Finished(now.Add(time.Second), r, request.Result{ID: r.ID, Server: "s0000", Outcome: request.Completed, OutputTokens: 50, FirstToken: time.Millisecond})
 	}
 	if s := b.servers["s0000"].speed; s < fullSpeed {
-		t.Errorf("speed %v a while after the last measurement", s)
+		t.Errorf("speed %v after it recovered", s)
 	}
 }
 
+func TestSlowServerIsSparedByTightClasses(t *testing.T) {
+	convey.Convey("Given a server five times as slow as the others", t, func() {
+		set := newSet(4, 8, "a")
+		set.Classes["batch"].BetweenTokens = object.Duration(76 * time.Millisecond)
+		set.Classes["slack"] = &object.ClassSpec{Name: "slack", Tier: 2, Reclaimable: true, SharesTier: true}
+		b := newBalancer(1, set)
+		for k := range 4 {
+			v := b.servers[fmt.Sprintf("s%04d", k)]
+			b.learn(start, v, 40, time.Second)
+		}
+		v := b.servers["s0000"]
+		for range 30 {
+			b.learn(start, v, 8, time.Second)
+		}
+		now := start.Add(time.Second)
+		convey.Convey("a class with a target that it misses waits for another", func() {
+			convey.So(send(b, now, "batch", 0, 100), convey.ShouldNotContainKey, "s0000")
+		})
+		convey.Convey("a class without one uses it a little", func() {
+			convey.So(send(b, now, "slack", 0, 100)["s0000"], convey.ShouldBeBetween, 0, 4)
+		})
+		convey.Convey("a single request tries it again after a while", func() {
+			convey.So(send(b, now.Add(probeInterval), "batch", 0, 100)["s0000"], convey.ShouldEqual, 1)
+		})
+		convey.Convey("a request with time enough on a usual server only does not go there either", func() {
+			r := newRequest(1, "slack")
+			r.Deadline = now.Add(4 * time.Second)
+			_, _, ok := b.Choose(now, r, []string{"s0001", "s0002", "s0003"})
+			convey.So(ok, convey.ShouldBeFalse)
+		})
+	})
+}
+
 func TestStalledServerGetsLess(t *testing.T) {
 	b := newBalancer(1, newSet(4, 8, "a"))
 	for k := range 4 {
--- a/internal/traffic/balance/choose.go
+++ b/internal/traffic/balance/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
 )
@@ -70,6 +71,7 @@
 	p      *pool
 	target target
 	list   *targetList
+	class  *object.ClassSpec
 	cheap  bool
 	level  level
 	best   *server
@@ -119,7 +121,10 @@
 // search finds the server for a target.
 func (b *Balancer) search(now time.Time, r *request.Request, p *pool, t target, exclude []string) search {
 	b.exclude.set(b, exclude)
-	s := search{b: b, now: now, r: r, p: p, target: t, list: p.target(t), cheap: b.allowsCheap(r.Class)}
+	s := search{b: b, now: now, r: r, p: p, target: t, list: p.target(t), class: &object.ClassSpec{}}
+	if c, ok := b.snap.Set.Classes[r.Class]; ok {
+		s.class, s.cheap = c, c.Reclaimable
+	}
 	s.find()
 	if s.best == nil && p.first(r.Tier) {
 		s.level = packed
@@ -150,12 +155,6 @@
 	return whyLocal
 }
 
-// allowsCheap reports whether a class may run on reclaimable servers. Requests without a class may not.
-func (b *Balancer) allowsCheap(class string) bool {
-	c, ok := b.snap.Set.Classes[class]
-	return ok && c.Reclaimable
-}
-
 // Room reports whether a server of the pool has room for a request of a rank. Rank 1 is the first of
 // the tiers that the pool serves.
 func (b *Balancer) Room(now time.Time, pool string, rank int) bool {
@@ -225,7 +224,7 @@
 	}
 	// What only time has changed was not noted yet.
 	s.b.update(s.now, v)
-	if v.level != s.level {
+	if v.level != s.level || s.hopeless(v) && !s.mayProbe(v) {
 		return
 	}
 	cached := s.b.cache.match(v, s.r.Prefix)
@@ -235,6 +234,30 @@
 	}
 }
 
+// hopeless reports whether v is so slow that the request misses its deadline or its class's time between
+// tokens there, though not on a server of the usual speed: it rather waits for one.
+func (s *search) hopeless(v *server) bool {
+	if v.speed >= fullSpeed || s.p.usable < 2 {
+		return false
+	}
+	if target := time.Duration(s.class.BetweenTokens).Seconds(); target > 0 && s.p.rated > 0 {
+		if usual := 1 / s.p.usualRate(); usual <= target && usual/v.speed > target {
+			return true
+		}
+	}
+	if s.r.Deadline.IsZero() {
+		return false
+	}
+	left, usual := s.r.Deadline.Sub(s.now).Seconds(), s.service()
+	return usual <= left && usual/v.speed > left
+}
+
+// mayProbe reports whether a slow server is due for a request that finds out whether it still is. The
+// first of several tiers is spared.
+func (s *search) mayProbe(v *server) bool {
+	return v.outstanding(s.now) == 0 && s.now.Sub(v.rateAt) >= probeInterval && (len(s.p.tiers) < 2 || !s.p.first(s.r.Tier))
+}
+
 // costOf estimates the seconds that the request takes on v, with price and risk counted in.
 func (s *search) costOf(v *server, cached int) float64 {
 	uncached := max(0, float64(s.r.PromptTokens)-float64(cached*blockTokens)*v.cache.trust())
--- a/internal/traffic/balance/learn.go
+++ b/internal/traffic/balance/learn.go
@@ -14,8 +14,8 @@
 	// minSpeed and maxSpeed bound a learned relative speed.
 	minSpeed = 0.05
 	maxSpeed = 4.0
-	// relaxAfter is the time without a measurement from which a speed returns to the usual, half of the way each time.
-	relaxAfter = 10 * time.Second
+	// probeInterval is how often a server that is too slow for a request gets one all the same, to be measured.
+	probeInterval = 10 * time.Second
 	// stallTime is the shortest silence of all streams of a server that tells of its speed.
 	stallTime = 2 * time.Second
 	// stallTokens is what a stream should have generated in a silence.
@@ -74,22 +74,12 @@
 
 func clamp(speed float64) float64 { return min(maxSpeed, max(minSpeed, speed)) }
 
-// relax moves the speed of a server that is silent: down while streams wait on it, and back to the
-// usual one when it has not been measured for long, so that it is tried again.
-func (b *Balancer) relax(now time.Time, v *server) {
+// stall lowers the speed of a server whose streams are silent.
+func (b *Balancer) stall(now time.Time, v *server) {
 	p := v.pool
 	if silent := now.Sub(v.progress); v.streams > 0 && silent > stallTime && p.rated > 1 {
 		v.speed = min(v.speed, clamp(stallTokens/silent.Seconds()/p.usualRate()))
-		return
-	}
-	if v.rate == 0 || now.Sub(v.rateAt) < relaxAfter || v.streams > 0 {
-		return
 	}
-	v.rateAt = now
-	v.speed += (v.usualSpeed() - v.speed) / 2
-	step := (v.speed*p.usualRate() - v.rate) / 2
-	v.rate += step
-	p.rate += step
 }
 
 // measure learns from a finished attempt.
--- a/internal/traffic/balance/server.go
+++ b/internal/traffic/balance/server.go
@@ -247,7 +247,7 @@
 	if v.removed {
 		return
 	}
-	b.relax(now, v)
+	b.stall(now, v)
 	ok := v.available(now)
 	if ok != v.usable {
 		v.usable = ok
--- a/internal/traffic/balance/sim_test.go
+++ b/internal/traffic/balance/sim_test.go
@@ -29,6 +29,7 @@
 	simMaxOut    = 480
 	simPrompt    = 2048
 	simEventLate = time.Second
+	simTarget    = 76 * time.Millisecond
 )
 
 // chooser is what the simulated hosts choose with.
@@ -218,7 +219,7 @@
 func (s *sim) build() {
 	set := object.NewSet()
 	set.Pools["models"] = &object.PoolSpec{Name: "models", Concurrency: simSlots}
-	set.Classes["chat"] = &object.ClassSpec{Name: "chat", Tier: 1}
+	set.Classes["chat"] = &object.ClassSpec{Name: "chat", Tier: 1, BetweenTokens: object.Duration(simTarget)}
 	set.Routes["briefs"] = &object.RouteSpec{Name: "briefs", Model: "m", Pool: "models", Classes: []string{"none", "chat"}}
 	// The measured class is not the first tier, which would overcommit.
 	set.Classes["none"] = &object.ClassSpec{Name: "none", Tier: 0}
@@ -262,7 +263,7 @@
 	j.length = min(simMaxOut, max(4, int(simMeanOut*math.Exp(0.8*s.rng.NormFloat64()-0.32))))
 	j.req = &request.Request{
 		ID: request.ID(fmt.Sprint(s.jobs)), Class: "chat", Tier: 1, Pool: "models", Model: "m", Streaming: true,
-		PromptTokens: simPrompt, Arrived: s.now, Prefix: s.prefix(), Zone: j.host.zone,
+		PromptTokens: simPrompt, Arrived: s.now, Deadline: s.now.Add(simPatience), Prefix: s.prefix(), Zone: j.host.zone,
 	}
 	j.host.queue = append(j.host.queue, j)
 	s.at(simPatience, func() { s.abandon(j) })
