--- a/internal/traffic/balance/choose.go
+++ b/internal/traffic/balance/choose.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
 )
 
@@ -19,11 +21,13 @@
 	// maxOutputFactor bounds how much a caller's bound on the output counts.
 	maxOutputFactor = 4.0
 	// loadCost is how much longer a request takes on a full server than on an empty one.
-	loadCost = 1.0
+	loadCost = 0.25
 	// failureCost in seconds is what each recent failure of a server counts.
 	failureCost = 0.5
 	// priceCost in seconds is what a server of the pool's mean price counts.
 	priceCost = 0.05
+	// minPairTokens is the smallest part of a prompt not cached that is read by another server.
+	minPairTokens = 1024
 	// sameZoneCost in seconds keeps a retry out of the zone where an attempt failed.
 	sameZoneCost = 0.25
 )
@@ -65,7 +69,9 @@
 	now    time.Time
 	r      *request.Request
 	p      *pool
+	target target
 	list   *targetList
+	class  *object.ClassSpec
 	cheap  bool
 	level  level
 	best   *server
@@ -80,17 +86,51 @@
 	if !ok {
 		return "", "", false
 	}
+	s := b.search(now, r, p, targetOf(r.Model, r.Adapter, r.Version), exclude)
+	if s.best == nil {
+		return "", "", false
+	}
+	return s.best.spec.Name, s.why(), true
+}
+
+// ChoosePair returns a server that reads the prompt of r and one that imports the KV cache and generates
+// the answer. It returns false when the pool has no such servers with room, or the prompt is too short
+// to be worth the transfer; the request then runs whole, see [Balancer.Choose].
+func (b *Balancer) ChoosePair(now time.Time, r *request.Request, exclude []string) (prefill, decode string, ok bool) {
+	b.advance(now)
+	p, ok := b.pools[r.Pool]
+	if !ok {
+		return "", "", false
+	}
+	t := targetOf(r.Model, r.Adapter, r.Version)
+	second := b.search(now, r, p, t, exclude)
+	if second.best == nil || second.best.role != dispatch.Decode {
+		return "", "", false
+	}
+	if r.PromptTokens-b.cache.match(second.best, r.Prefix)*blockTokens < minPairTokens {
+		return "", "", false
+	}
+	t.prefill = true
+	first := b.search(now, r, p, t, exclude)
+	if first.best == nil {
+		return "", "", false
+	}
+	return first.best.spec.Name, second.best.spec.Name, true
+}
+
+// search finds the server for a target.
+func (b *Balancer) search(now time.Time, r *request.Request, p *pool, t target, exclude []string) search {
 	b.exclude.set(b, exclude)
-	s := search{b: b, now: now, r: r, p: p, list: p.target(targetOf(r.Model, r.Adapter, r.Version)), cheap: b.allowsCheap(r.Class)}
+	s := search{b: b, now: now, r: r, p: p, target: t, list: p.target(t), class: &object.ClassSpec{}}
+	if c, ok := b.snap.Set.Classes[r.Class]; ok {
+		s.class, s.cheap = c, c.Reclaimable
+	}
 	s.find()
 	if s.best == nil && p.first(r.Tier) {
 		s.level = packed
 		s.find()
 	}
-	if s.best == nil {
-		return "", "", false
-	}
-	return s.best.spec.Name, s.why(), true
+	return s
 }
 
 // find considers servers of the search's level.
@@ -115,12 +155,6 @@
 	return whyLocal
 }
 
-// allowsCheap reports whether a class may run on reclaimable servers. Requests without a class may not.
-func (b *Balancer) allowsCheap(class string) bool {
-	c, ok := b.snap.Set.Classes[class]
-	return ok && c.Reclaimable
-}
-
 // Room reports whether a server of the pool has room for a request of a rank. Rank 1 is the first of
 // the tiers that the pool serves.
 func (b *Balancer) Room(now time.Time, pool string, rank int) bool {
@@ -156,7 +190,7 @@
 	if v.cheap == 1 && !s.cheap {
 		return false
 	}
-	return targetOf(s.r.Model, s.r.Adapter, s.r.Version).fits(v)
+	return s.target.fits(v)
 }
 
 // sample considers servers with room, in the host's zone (0) or in others (1).
@@ -190,7 +224,7 @@
 	}
 	// What only time has changed was not noted yet.
 	s.b.update(s.now, v)
-	if v.level != s.level {
+	if v.level != s.level || s.hopeless(v) && !s.mayProbe(v) {
 		return
 	}
 	cached := s.b.cache.match(v, s.r.Prefix)
@@ -200,13 +234,39 @@
 	}
 }
 
+// hopeless reports whether v is so slow that the request misses its deadline or its class's time between
+// tokens there, though not on a server of the usual speed: it rather waits for one.
+func (s *search) hopeless(v *server) bool {
+	if v.speed >= fullSpeed || s.p.usable < 2 {
+		return false
+	}
+	if target := time.Duration(s.class.BetweenTokens).Seconds(); target > 0 && s.p.rated > 0 {
+		if usual := 1 / s.p.usualRate(); usual <= target && usual/v.speed > target {
+			return true
+		}
+	}
+	if s.r.Deadline.IsZero() {
+		return false
+	}
+	left, usual := s.r.Deadline.Sub(s.now).Seconds(), s.service()
+	return usual <= left && usual/v.speed > left
+}
+
+// mayProbe reports whether a slow server is due for a request that finds out whether it still is. The
+// first of several tiers is spared.
+func (s *search) mayProbe(v *server) bool {
+	return v.outstanding(s.now) == 0 && s.now.Sub(v.rateAt) >= probeInterval && (len(s.p.tiers) < 2 || !s.p.first(s.r.Tier))
+}
+
 // costOf estimates the seconds that the request takes on v, with price and risk counted in.
 func (s *search) costOf(v *server, cached int) float64 {
 	uncached := max(0, float64(s.r.PromptTokens)-float64(cached*blockTokens)*v.cache.trust())
 	seconds := uncached * s.p.prefill.or(usualPrefill)
-	seconds += s.service() * (1 + loadCost*v.loadFactor(s.now))
+	// The last places of a server are those where a host that knows too little meets others.
+	u := v.loadFactor(s.now)
+	seconds += s.service() * (1 + loadCost*u*u)
 	seconds /= v.speed
-	if v.spec.Zone != s.b.zone {
+	if v.remote == 1 {
 		seconds += s.b.distance(v.spec.Zone).Seconds()
 	}
 	if s.p.price > 0 {
