claim: pure decisions of at most once, with group commit per shard

A call is claimed in a shard object, named by the digest of organisation, route and key, before it is sent. The claim is the intent: no write stands between a confirmed claim and the sending, and no other request ever sends under it. A refusal says "not run" only after a conditional write has proved that no claim was there; a read alone could be stale.

--- /dev/null
+++ b/internal/traffic/claim/platform.go
@@ -0,0 +1,43 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+
+	"shallotramp/internal/platform/store"
+)
+
+// readShard returns a shard as the platform has it, and whether the platform answered.
+func readShard(ctx context.Context, st store.Store, shard int) (c Content, version string, ok bool) {
+	o, err := st.Get(ctx, Kind, shardName(shard))
+	if store.Failed(err, store.NotFound) {
+		return Content{}, "", true
+	}
+	if err != nil || json.Unmarshal(o.Spec, &c) != nil {
+		return Content{}, "", false
+	}
+	return c, o.Version, true
+}
+
+// writeShard carries out a [WriteShard] effect.
+func writeShard(ctx context.Context, st store.Store, e Effect) (Outcome, string) {
+	spec, err := json.Marshal(e.Content)
+	if err != nil {
+		return Denied, ""
+	}
+	o := store.Object{Kind: Kind, Name: shardName(e.Shard), Version: e.Version, Spec: spec}
+	if e.Version == "" {
+		o, err = st.Create(ctx, o)
+	} else {
+		o, err = st.Update(ctx, o)
+	}
+	switch {
+	case err == nil:
+		return Written, o.Version
+	case store.Failed(err, store.Conflict), store.Failed(err, store.Exists), store.Failed(err, store.NotFound):
+		return Overtaken, ""
+	case store.Failed(err, store.Unavailable):
+		return Lost, ""
+	}
+	return Denied, ""
+}
