gateway, host: calls of non-idempotent routes run at most once

A call is looked up before the queue, claimed directly before it is sent, and refused as "not run" only after the platform has proved it. The sending goes on when its caller has left, so that the outcome is recorded for a resend.

net/http sends a call with an Idempotency-Key again when the server closes a kept connection after reading it (shown on a raw listener: 2 deliveries of one call).

--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -62,6 +62,9 @@
 
 // exchange sends c to b and relays the answer. It sets the outcome of res.
 func (g *Gateway) exchange(ctx context.Context, c *call, b *object.BackendServerSpec, res *request.Result) *Fault {
+	if c.once.ticket != nil {
+		return g.exchangeOnce(ctx, c, b, res)
+	}
 	req, err := g.outgoing(ctx, c, b)
 	if err != nil {
 		res.Outcome = request.Cancelled
@@ -119,6 +122,9 @@
 		// The transport must not send a non-idempotent call a second time by itself, which it
 		// does for a body that it can rewind.
 		req.GetBody = nil
+		if len(body) > 0 {
+			req.Body = io.NopCloser(struct{ io.Reader }{bytes.NewReader(body)})
+		}
 	}
 	propagator.Inject(ctx, propagation.HeaderCarrier(req.Header))
 	return req, nil
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -29,6 +29,7 @@
 	snap    *release.Snapshot
 	end     context.CancelCauseFunc
 	account Account
+	once    once
 	// answer is what the caller has got so far.
 	answer answerState
 }
@@ -111,7 +112,10 @@
 	g.count("requests_total", c)
 	score := g.scores.of(c.req.Class)
 	score.offered.Add(1)
-	g.drive(ctx, c)
+	if g.look(ctx, c) {
+		defer g.leave(c)
+		g.drive(ctx, c)
+	}
 	g.metrics.GetOrCreateHistogram(fmt.Sprintf(`request_duration_seconds{class=%q}`, c.req.Class)).UpdateDuration(c.req.Arrived)
 }
 
@@ -170,6 +174,9 @@
 		g.scores.of(c.req.Class).completed(c, res)
 		return
 	}
+	if c.once.settled {
+		return
+	}
 	if fault != nil {
 		g.fail(c, fault)
 		return
@@ -195,6 +202,9 @@
 // fail tells the caller of a failure: as a status when nothing was sent, else inside the answer, which
 // is then broken off so that no client takes it for a whole one.
 func (g *Gateway) fail(c *call, f *Fault) {
+	if f = g.settle(c, f); f == nil {
+		return
+	}
 	if !c.answer.begun {
 		f.write(c.w, c.req.ID)
 		return
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/ops/explain"
+	"shallotramp/internal/traffic/claim"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
 	"shallotramp/internal/usage/meter"
@@ -67,8 +68,11 @@
 	tracer   trace.Tracer
 	limits   Limits
 	backends http.RoundTripper
-	open     *registry
-	scores   *scores
+	// onces is the transport of calls that run at most once.
+	onces  http.RoundTripper
+	claims *claim.Book
+	open   *registry
+	scores *scores
 }
 
 // Option changes a [Gateway].
@@ -110,7 +114,9 @@
 }
 
 // WithTransport sets the transport to backend servers.
-func WithTransport(rt http.RoundTripper) Option { return func(g *Gateway) { g.backends = rt } }
+func WithTransport(rt http.RoundTripper) Option {
+	return func(g *Gateway) { g.backends, g.onces = rt, rt }
+}
 
 // New returns a Gateway in zone for the releases of holder and the decisions of loop.
 func New(zone string, holder *release.Holder, loop *dispatch.Loop, opts ...Option) *Gateway {
@@ -118,6 +124,7 @@
 		zone: zone, holder: holder, loop: loop,
 		counter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(), log: zerolog.Nop(),
 		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, open: newRegistry(), scores: &scores{},
+		onces: newOnceTransport(),
 		backends: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 256,
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -23,6 +23,7 @@
 	"shallotramp/internal/ops/event"
 	"shallotramp/internal/ops/explain"
 	"shallotramp/internal/platform/store"
+	"shallotramp/internal/traffic/claim"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/scheduler"
 	"shallotramp/internal/usage/meter"
@@ -66,6 +67,7 @@
 	// node and leases are nil without links to other hosts.
 	node   *relay.Node
 	leases *lease.Manager
+	claims *claim.Book
 }
 
 // New returns a Host that listens at once, so that its addresses are known, and serves when run.
@@ -73,11 +75,11 @@
 	h := &Host{
 		cfg: cfg, log: log, store: st, holder: &release.Holder{},
 		meter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(),
-		events: event.New(eventsKept),
+		events: event.New(eventsKept), claims: claim.NewBook(st, cfg.Name),
 	}
 	h.loop = dispatch.NewLoop(scheduler.New(rand.Uint64(), scheduler.WithZone(cfg.Zone)))
 	h.gateway = gateway.New(cfg.Zone, h.holder, h.loop, gateway.WithLog(log), gateway.WithMetrics(h.metrics),
-		gateway.WithBook(h.book), gateway.WithCounter(h.meter), gateway.WithLimits(cfg.Limits))
+		gateway.WithBook(h.book), gateway.WithCounter(h.meter), gateway.WithLimits(cfg.Limits), gateway.WithClaims(h.claims))
 	var err error
 	if h.callers, err = net.Listen("tcp", cfg.Callers.String()); err != nil {
 		return nil, errors.Wrap(err, "the callers' listener cannot start; free the address or set --callers")
@@ -104,7 +106,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	parts := []func(context.Context, chan<- error){h.loop.Run, h.enforce}
+	parts := []func(context.Context, chan<- error){h.loop.Run, h.enforce, h.claims.Run}
 	if h.node != nil {
 		parts = append(parts, h.node.Run, h.leases.Run)
 	} else {
--- /dev/null
+++ b/internal/traffic/claim/book_test.go
@@ -0,0 +1,120 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"shallotramp/internal/platform/fake"
+	"shallotramp/internal/traffic/claim"
+	"shallotramp/internal/traffic/request"
+)
+
+// book is a running Book.
+type book struct {
+	*claim.Book
+	stop context.CancelFunc
+	done chan error
+}
+
+func start(st *fake.Store, host string, opts ...claim.Option) *book {
+	b := &book{Book: claim.NewBook(st, host, opts...), done: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.stop = cancel
+	go b.Run(ctx, b.done)
+	return b
+}
+
+func (b *book) end() {
+	b.stop()
+	<-b.done
+}
+
+func arrival(id, key string) claim.Arrival {
+	return claim.Arrival{
+		ID: request.ID(id), Key: claim.KeyOf("org", "bookings", key),
+		Print: claim.PrintOf("POST", "/bookings/", []byte(key)), Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+// claimed returns a ticket that may be sent.
+func (b *book) claimed(t *testing.T, a claim.Arrival) *claim.Ticket {
+	t.Helper()
+	ticket, answer := b.Open(context.Background(), a)
+	if answer != nil {
+		t.Fatalf("told %s", answer.Verdict)
+	}
+	if answer, err := ticket.Claim(context.Background()); answer != nil || err != nil || !ticket.MaySend(time.Now()) {
+		t.Fatalf("not claimed: %v, %v", answer, err)
+	}
+	return ticket
+}
+
+func TestPlannedStopRecordsTheOutcomeOfASentCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fake.NewStore()
+		a, b := start(st, "a"), start(st, "b")
+		defer b.end()
+		ticket := a.claimed(t, arrival("r1", "k"))
+		time.AfterFunc(2*time.Second, func() {
+			ticket.Finish(claim.Result{Kind: claim.ServerAnswered, Reply: claim.Reply{Status: 201, Body: []byte("ok")}})
+		})
+		a.end()
+		_, answer := b.Open(context.Background(), arrival("r2", "k"))
+		if answer == nil || answer.Verdict != claim.Replay || answer.Reply.Status != 201 || string(answer.Reply.Body) != "ok" {
+			t.Errorf("the resend was told %+v", answer)
+		}
+	})
+}
+
+func TestVanishedHostLeavesATruthfulClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fake.NewStore()
+		a, b := start(st, "a"), start(st, "b")
+		defer b.end()
+		ticket := a.claimed(t, arrival("r1", "k"))
+		time.Sleep(claim.DefaultConfig().SendTerm)
+		if ticket.MaySend(time.Now()) {
+			t.Error("a paused host may send after the term")
+		}
+		begun := time.Now()
+		_, answer := b.Open(context.Background(), arrival("r2", "k"))
+		if answer == nil || answer.Verdict != claim.MayHaveRun || time.Since(begun) > claim.DefaultConfig().WaitLimit {
+			t.Errorf("the resend was told %+v after %v", answer, time.Since(begun))
+		}
+		a.end()
+	})
+}
+
+func TestALargeAnswerIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := start(fake.NewStore(), "a")
+		defer a.end()
+		ticket := a.claimed(t, arrival("r1", "k"))
+		ticket.Finish(claim.Result{Kind: claim.ServerAnswered, Reply: claim.Reply{Status: 201, Body: make([]byte, 1<<20)}})
+		_, answer := a.Open(context.Background(), arrival("r2", "k"))
+		if answer == nil || answer.Verdict != claim.Ran || answer.Reply.Status != 201 {
+			t.Errorf("the resend was told %+v", answer)
+		}
+	})
+}
+
+func ExampleBook() {
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	b := claim.NewBook(fake.NewStore(), "10.0.1.7")
+	go b.Run(ctx, done)
+
+	ticket, _ := b.Open(ctx, arrival("r1", "wardrobe"))
+	if answer, err := ticket.Claim(ctx); answer == nil && err == nil && ticket.MaySend(time.Now()) {
+		ticket.Finish(claim.Result{Kind: claim.ServerAnswered, Reply: claim.Reply{Status: 201}})
+	}
+	_, answer := b.Open(ctx, arrival("r2", "wardrobe"))
+	fmt.Println(answer.Verdict, answer.Reply.Status)
+	stop()
+	<-done
+	// Output:
+	// Replay 201
+}
--- a/internal/traffic/claim/claim.go
+++ b/internal/traffic/claim/claim.go
@@ -192,6 +192,8 @@
 	MayHaveRun
 	// NeverRan verdicts tell that the call had not run when the platform was asked.
 	NeverRan
+	// Unasked verdicts tell that the platform did not answer: this request was not sent, but an earlier one may have run.
+	Unasked
 	// OtherPrint verdicts tell that the key names another call.
 	OtherPrint
 )
--- a/internal/traffic/claim/claim_string.go
+++ b/internal/traffic/claim/claim_string.go
@@ -111,12 +111,13 @@
 	_ = x[Ran-1]
 	_ = x[MayHaveRun-2]
 	_ = x[NeverRan-3]
-	_ = x[OtherPrint-4]
+	_ = x[Unasked-4]
+	_ = x[OtherPrint-5]
 }
 
-const _Verdict_name = "ReplayRanMayHaveRunNeverRanOtherPrint"
+const _Verdict_name = "ReplayRanMayHaveRunNeverRanUnaskedOtherPrint"
 
-var _Verdict_index = [...]uint8{0, 6, 9, 19, 27, 37}
+var _Verdict_index = [...]uint8{0, 6, 9, 19, 27, 34, 44}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
--- a/internal/traffic/claim/core.go
+++ b/internal/traffic/claim/core.go
@@ -52,9 +52,14 @@
 	}
 }
 
-// Pending returns how many steps wait for the platform.
+// Pending returns how many steps wait for the platform and how many calls for their backend server.
 func (c *Core) Pending() int {
 	n := 0
+	for _, k := range c.calls {
+		if k.machine.State() == Sent {
+			n++
+		}
+	}
 	for _, b := range c.buckets {
 		n += len(b.waiting) + len(b.flying)
 	}
@@ -304,7 +309,8 @@
 	default:
 		return nil
 	}
-	return c.leaveOpen(now, k)
+	c.fire(k, Unresolved)
+	return c.tell(now, k, Unasked, Reply{})
 }
 
 // leaveOpen ends a request of which only others know, or nobody, whether its call ran.
