--- a/internal/traffic/claim/claim.go
+++ b/internal/traffic/claim/claim.go
@@ -110,7 +110,7 @@
 // DefaultConfig returns the configuration that hosts use.
 func DefaultConfig() Config {
 	return Config{
-		Shards: 4096, SendTerm: 10 * time.Second,
+		Shards: 1 << 16, SendTerm: 10 * time.Second,
 		ClaimLimit: 5 * time.Second, ProofLimit: 2 * time.Second, WaitLimit: 10 * time.Second,
 		CleanupLimit: time.Minute, Retry: 100 * time.Millisecond, Poll: 100 * time.Millisecond,
 		Retention: 24 * time.Hour, KeepAnswers: time.Hour, Skew: 10 * time.Minute,
