scheduler, gateway: a request that every server broke is tried again

Cause: a request whose streams broke on both servers of a pool was set apart as a suspect with both servers excluded, and waited for its deadline. When all servers were tried, one of them has to do. Found by the test of exact resume, which now passes: two breaks a stream, each token once, one stream id. An answer that names another request's id now counts as broken and reaches no caller.

--- a/internal/catalog/release/holder.go
+++ b/internal/catalog/release/holder.go
@@ -7,7 +7,7 @@
 
 // Holder holds the release in force on a host. It never goes back to an earlier one. It is safe for concurrent use.
 type Holder struct {
-	current   atomic.Pointer[Snapshot]
+	current atomic.Pointer[Snapshot]
 	// confirmed keeps the monotonic reading, so that a wall clock set back lengthens no grace.
 	confirmed atomic.Pointer[time.Time]
 }
--- /dev/null
+++ b/internal/entry/gateway/answer_test.go
@@ -0,0 +1,60 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/tidwall/gjson"
+
+	enginefake "shallotramp/internal/engine/fake"
+	"shallotramp/internal/traffic/scheduler"
+)
+
+// TestCrossedAnswerReachesNoCaller lets a backend server answer each request with the answer to another one.
+func TestCrossedAnswerReachesNoCaller(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Request-Id", "of-another-request")
+		_, _ = io.WriteString(w, `{"secret":"of another organisation"}`)
+	}))
+	defer srv.Close()
+	b := newBench(t)
+	b.set.BackendServers["s"].Address = addr(srv)
+	b.publish(2)
+	res, body := b.post("/open/x", "", "{}")
+	if res.StatusCode < http.StatusInternalServerError || strings.Contains(body, "secret") {
+		t.Errorf("got %d %s", res.StatusCode, body)
+	}
+}
+
+// TestResumedStreamIsExact breaks the streams of both engines; the caller gets each token once, also when
+// all servers were tried before.
+func TestResumedStreamIsExact(t *testing.T) {
+	b := newBenchWith(t, scheduler.New(1))
+	b.set.Routes["m"].Retry.Attempts = 8
+	b.publish(2)
+	for round := range 4 {
+		b.engines[0].SetFaults(enginefake.Faults{BreakAfter: 14 + round})
+		b.engines[1].SetFaults(enginefake.Faults{BreakAfter: 14 + round})
+		prompt := fmt.Sprintf("round %d tokens=40", round)
+		_, body := b.post("/v1/chat/completions", secretA, chat(prompt, true))
+		var text strings.Builder
+		ids := map[string]bool{}
+		for _, line := range strings.Split(body, "\n") {
+			data, ok := strings.CutPrefix(line, "data: ")
+			if ok && data != "[DONE]" {
+				text.WriteString(gjson.Get(data, "choices.0.delta.content").String())
+				ids[gjson.Get(data, "id").String()] = true
+			}
+		}
+		if text.String() != right(prompt, 40) || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+			t.Errorf("round %d: got %q, want %q", round, text.String(), right(prompt, 40))
+		}
+		if len(ids) != 1 {
+			t.Errorf("round %d: the stream changed its id: %v", round, ids)
+		}
+	}
+}
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -76,6 +76,12 @@
 		return nil
 	}
 	defer answer.Body.Close()
+	if crossed(answer, c.req.ID) {
+		g.metrics.GetOrCreateCounter(fmt.Sprintf(`crossed_answers_total{server=%q}`, b.Name)).Inc()
+		g.log.Error().Str("Server", b.Name).Str("Request", string(c.req.ID)).Msg("a backend server answered with another request's answer; its connection is closed")
+		res.Outcome = request.Broken
+		return nil
+	}
 	if c.req.Model == "" {
 		return g.relayService(c, answer, res)
 	}
@@ -94,6 +100,13 @@
 	return g.relayWhole(c, answer, res)
 }
 
+// crossed reports whether the answer names another request than the one that was sent. Servers that
+// name none are trusted to keep to the order of their connection.
+func crossed(answer *http.Response, id request.ID) bool {
+	named := answer.Header.Get("X-Request-Id")
+	return named != "" && named != string(id)
+}
+
 // outcomeOf tells a connection that was refused, so that nothing ran, from one that broke.
 func outcomeOf(err error) request.Outcome {
 	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH) {
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -52,6 +52,11 @@
 }
 
 func newBench(t testing.TB, opts ...gateway.Option) *bench {
+	t.Helper()
+	return newBenchWith(t, baseline.New(), opts...)
+}
+
+func newBenchWith(t testing.TB, p dispatch.Policy, opts ...gateway.Option) *bench {
 	t.Helper()
 	b := &bench{t: t, holder: &release.Holder{}, meter: meter.New(), set: object.NewSet()}
 	s := b.set
@@ -82,7 +87,7 @@
 	if fs := s.Check(); object.Refused(fs) {
 		t.Fatal(fs)
 	}
-	b.loop = dispatch.NewLoop(baseline.New())
+	b.loop = dispatch.NewLoop(p)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go b.loop.Run(ctx, done)
--- a/internal/traffic/scheduler/delay.go
+++ b/internal/traffic/scheduler/delay.go
@@ -69,6 +69,10 @@
 // chooseApart picks a server that runs no other suspected request.
 func (p *Policy) chooseApart(now time.Time, e *entry) (name, why string, ok bool) {
 	exclude := append([]string(nil), e.exclude...)
+	if len(exclude) >= p.chooser.Usable(e.req.Pool) {
+		// All servers were tried: one of them has to do.
+		exclude = nil
+	}
 	for range apartTries {
 		name, why, ok = p.chooser.Choose(now, e.req, exclude)
 		if !ok {
