relay: state, loads and heartbeat share a frame; tables of keys

Messages of one event now share a yamux frame and TLS record (header and body written as one), messages are bounded by bytes, work served is told largest first, what servers have loaded only when it changed, and names go once and not once a pair of class and organisation.

--- a/internal/fleet/exchange/codec.go
+++ b/internal/fleet/exchange/codec.go
@@ -12,10 +12,17 @@
 )
 
 const (
-	// maxNames is the length of a table of names at which the sender starts anew.
-	maxNames = 8192
-	// maxFull bounds the values of a full state.
-	maxFull = 4 * maxNames
+	// maxKeys is the length of a table of keys at which the sender starts anew.
+	maxKeys = 8192
+	// valueBytes is about what a changed value takes, keyBytes what a new key and nameBytes
+	// what a new name takes besides its text.
+	valueBytes = 5
+	keyBytes   = 7
+	nameBytes  = 2
+	// keyNumbers are the numbers of a key: its kind and three names.
+	keyNumbers = 4
+	// maxTable bounds the tables that a receiver keeps.
+	maxTable = 4 * maxKeys
 )
 
 func fingerprint(f uint64) string { return strconv.FormatUint(f, 36) }
@@ -38,25 +45,37 @@
 	source, zone string
 	limit        int
 	sequence     uint64
-	names        []string
-	known        map[key]*sent
-	taken        time.Time
+	// names and keys are the tables that receivers have; index finds a name.
+	names []string
+	index map[string]uint32
+	keys  []uint32
+	known map[key]*sent
+	taken time.Time
 }
 
-// NewEncoder returns an Encoder whose messages hold at most limit changes.
+// NewEncoder returns an Encoder whose messages take about limit bytes at most.
 func NewEncoder(source, zone string, limit int) *Encoder {
-	return &Encoder{source: source, zone: zone, limit: limit, known: map[key]*sent{}}
+	return &Encoder{source: source, zone: zone, limit: limit, index: map[string]uint32{}, known: map[key]*sent{}}
 }
 
-// Next returns the message that brings receivers nearer to h: the changes, the longest untold first
-// and each kind within its share of the limit.
+// SetLimit changes the bytes of changes in one message and returns the limit before.
+func (e *Encoder) SetLimit(limit int) int {
+	before := e.limit
+	e.limit = limit
+	return before
+}
+
+// Next returns the message that brings receivers nearer to h: of the changes those that fit, each kind
+// within its share.
 func (e *Encoder) Next(now time.Time, h *dispatch.HostState) *wire.State {
-	if len(e.names) >= maxNames {
-		e.names, e.known = nil, map[key]*sent{}
+	if len(e.known) >= maxKeys {
+		e.names, e.keys = nil, nil
+		clear(e.index)
+		clear(e.known)
 	}
 	e.sequence++
 	e.taken = now
-	m := &wire.State{Source: e.source, Zone: e.zone, Sequence: e.sequence, Full: len(e.names) == 0, FirstName: uint32(len(e.names))}
+	m := &wire.State{Source: e.source, Zone: e.zone, Sequence: e.sequence, Full: len(e.keys) == 0, FirstName: uint32(len(e.names)), FirstKey: uint32(len(e.known))}
 	v := flatten(h)
 	for _, k := range e.pick(v) {
 		e.add(m, k, v[k])
@@ -66,71 +85,119 @@
 
 // pick chooses the changed keys that go into the next message.
 func (e *Encoder) pick(v values) []key {
-	changed := map[kind][]key{}
+	changed := e.changed(v)
+	var out []key
+	left := e.limit
+	for pass := range 2 {
+		for _, kd := range kinds {
+			share := left
+			if pass == 0 {
+				e.sort(kd, changed[kd], v)
+				share = min(left, e.limit/3)
+			}
+			n, cost := e.fit(changed[kd], share)
+			out = append(out, changed[kd][:n]...)
+			changed[kd] = changed[kd][n:]
+			left -= cost
+		}
+	}
+	return out
+}
+
+func (e *Encoder) changed(v values) map[kind][]key {
+	out := map[kind][]key{}
 	for k, n := range v {
 		if s, ok := e.known[k]; !ok || s.value != n {
-			changed[k.kind] = append(changed[k.kind], k)
+			out[k.kind] = append(out[k.kind], k)
 		}
 	}
 	for k, s := range e.known {
 		// Served work that has not changed of late is left out of a state and has not gone.
 		if _, ok := v[k]; !ok && s.value != 0 && k.kind != served {
-			changed[k.kind] = append(changed[k.kind], k)
+			out[k.kind] = append(out[k.kind], k)
 		}
 	}
-	var out []key
-	left, share := e.limit, e.limit/3
-	for pass := range 2 {
-		for _, kd := range kinds {
-			if pass == 0 {
-				e.sort(changed[kd])
-			}
-			n := min(len(changed[kd]), left)
-			if pass == 0 {
-				n = min(n, share)
+	return out
+}
+
+// fit returns how many of the keys go into a number of bytes, and how many bytes they take.
+func (e *Encoder) fit(keys []key, limit int) (n, cost int) {
+	for _, k := range keys {
+		c := valueBytes
+		if _, ok := e.known[k]; !ok {
+			c += keyBytes
+			for _, name := range k.names() {
+				if _, ok := e.index[name]; !ok && name != "" {
+					c += nameBytes + len(name)
+				}
 			}
-			out = append(out, changed[kd][:n]...)
-			changed[kd] = changed[kd][n:]
-			left -= n
 		}
+		if cost+c > limit {
+			break
+		}
+		n, cost = n+1, cost+c
 	}
-	return out
+	return n, cost
 }
 
-func (e *Encoder) sort(keys []key) {
+// sort puts the largest untold work first, and of all else what was untold the longest.
+func (e *Encoder) sort(kd kind, keys []key, v values) {
 	slices.SortFunc(keys, func(a, b key) int {
-		return cmp.Or(cmp.Compare(e.told(a), e.told(b)), cmp.Compare(a.a, b.a), cmp.Compare(a.b, b.b), cmp.Compare(a.c, b.c))
+		first := cmp.Compare(e.told(a).at, e.told(b).at)
+		if kd == served {
+			first = cmp.Compare(v[b]-e.told(b).value, v[a]-e.told(a).value)
+		}
+		return cmp.Or(first, cmp.Compare(a.a, b.a), cmp.Compare(a.b, b.b), cmp.Compare(a.c, b.c))
 	})
 }
 
-func (e *Encoder) told(k key) uint64 {
+func (e *Encoder) told(k key) sent {
 	if s, ok := e.known[k]; ok {
-		return s.at
+		return *s
 	}
-	return 0
+	return sent{}
 }
 
 func (e *Encoder) add(m *wire.State, k key, n int64) {
 	s, ok := e.known[k]
 	if !ok {
-		s = &sent{index: uint32(len(e.names))}
+		s = &sent{index: uint32(len(e.known))}
 		e.known[k] = s
-		name := k.String()
-		e.names = append(e.names, name)
-		m.Names = append(m.Names, name)
+		numbers := []uint32{uint32(k.kind)}
+		for _, name := range k.names() {
+			numbers = append(numbers, e.name(m, name))
+		}
+		e.keys = append(e.keys, numbers...)
+		m.Keys = append(m.Keys, numbers...)
 	}
 	s.value, s.at = n, e.sequence
 	m.Indexes = append(m.Indexes, s.index)
 	m.Values = append(m.Values, n)
 }
 
+// name returns the index of the name plus one, and zero for none.
+func (e *Encoder) name(m *wire.State, name string) uint32 {
+	if name == "" {
+		return 0
+	}
+	i, ok := e.index[name]
+	if !ok {
+		i = uint32(len(e.names))
+		e.index[name] = i
+		e.names = append(e.names, name)
+		m.Names = append(m.Names, name)
+	}
+	return i + 1
+}
+
 // Full returns all that receivers of every message know, for one that missed some; nil before the first message.
 func (e *Encoder) Full(now time.Time) *wire.State {
 	if e.sequence == 0 {
 		return nil
 	}
 	m := &wire.State{
-		Source: e.source, Zone: e.zone, Sequence: e.sequence, Full: true, Names: slices.Clone(e.names),
+		Source: e.source, Zone: e.zone, Sequence: e.sequence, Full: true,
+		Names: slices.Clone(e.names), Keys: slices.Clone(e.keys),
 		Age: uint64(max(now.Sub(e.taken), 0) / time.Millisecond),
 	}
 	for _, s := range e.known {
@@ -155,7 +222,8 @@
 // Decoder rebuilds the states of one source.
 type Decoder struct {
 	sequence uint64
-	names    []key
+	names    []string
+	keys     []key
 	values   values
 }
 
@@ -178,28 +246,20 @@
 func (d *Decoder) take(m *wire.State) (values, error) {
 	gap := &GapError{Source: m.GetSource(), Have: d.sequence, Arrived: m.GetSequence()}
 	if m.GetFull() {
-		d.names, d.values = nil, values{}
+		d.names, d.keys, d.values = nil, nil, values{}
 	} else if d.sequence == 0 || m.GetSequence() != d.sequence+1 {
 		return nil, gap
 	}
 	d.sequence = 0
-	if int(m.GetFirstName()) != len(d.names) || len(d.names)+len(m.GetNames()) > maxFull || len(m.GetIndexes()) != len(m.GetValues()) {
+	if !d.extend(m) || len(m.GetIndexes()) != len(m.GetValues()) {
 		return nil, gap
 	}
-	for _, name := range m.GetNames() {
-		k, ok := parseKey(name)
-		if !ok {
-			// A kind of a newer version keeps its place in the table and is ignored.
-			k = key{}
-		}
-		d.names = append(d.names, k)
-	}
 	recent := values{}
 	for i, index := range m.GetIndexes() {
-		if int(index) >= len(d.names) {
+		if int(index) >= len(d.keys) {
 			return nil, gap
 		}
-		k, n := d.names[index], m.GetValues()[i]
+		k, n := d.keys[index], m.GetValues()[i]
 		recent[k] = n
 		switch {
 		case k.kind == served:
@@ -212,3 +272,29 @@
 	d.sequence = m.GetSequence()
 	return recent, nil
 }
+
+// extend adds the new names and keys to the tables, and reports whether they fit to those known.
+func (d *Decoder) extend(m *wire.State) bool {
+	if int(m.GetFirstName()) != len(d.names) || int(m.GetFirstKey()) != len(d.keys) {
+		return false
+	}
+	if len(d.names)+len(m.GetNames()) > maxTable || len(d.keys)+len(m.GetKeys())/keyNumbers > maxTable || len(m.GetKeys())%keyNumbers != 0 {
+		return false
+	}
+	d.names = append(d.names, m.GetNames()...)
+	for numbers := range slices.Chunk(m.GetKeys(), keyNumbers) {
+		// A kind of a newer version keeps its place in the table and is ignored later.
+		k := key{kind: kind(numbers[0])}
+		for i, part := range []*string{&k.a, &k.b, &k.c} {
+			n := numbers[i+1]
+			if int(n) > len(d.names) {
+				return false
+			}
+			if n > 0 {
+				*part = d.names[n-1]
+			}
+		}
+		d.keys = append(d.keys, k)
+	}
+	return true
+}
--- a/internal/fleet/exchange/flatten.go
+++ b/internal/fleet/exchange/flatten.go
@@ -3,7 +3,6 @@
 package exchange
 
 import (
-	"strings"
 	"time"
 
 	"shallotramp/internal/traffic/dispatch"
@@ -31,20 +30,8 @@
 	a, b, c string
 }
 
-const separator = "\x1f"
-
-func (k key) String() string {
-	return strings.TrimRight(strings.Join([]string{string(k.kind), k.a, k.b, k.c}, separator), separator)
-}
-
-func parseKey(s string) (key, bool) {
-	parts := strings.Split(s, separator)
-	if len(parts) < 2 || len(parts) > 4 || len(parts[0]) != 1 {
-		return key{}, false
-	}
-	parts = append(parts, "", "")
-	return key{kind(parts[0][0]), parts[1], parts[2], parts[3]}, true
-}
+// names returns the names of the key.
+func (k key) names() [3]string { return [3]string{k.a, k.b, k.c} }
 
 // Names of the values of levels and queues.
 const (
--- a/internal/fleet/exchange/owner.go
+++ b/internal/fleet/exchange/owner.go
@@ -9,7 +9,7 @@
 	for _, h := range hosts {
 		d := xxhash.New()
 		_, _ = d.WriteString(h)
-		_, _ = d.WriteString(separator)
+		_, _ = d.WriteString("/")
 		_, _ = d.WriteString(server)
 		if n := d.Sum64(); out == "" || n > best || n == best && h < out {
 			best, out = n, h
--- a/internal/fleet/link/link.go
+++ b/internal/fleet/link/link.go
@@ -40,7 +40,7 @@
 
 	session *yamux.Session
 	streams [2]net.Conn
-	queues  [2]chan *wire.Envelope
+	queues  [2]chan []*wire.Envelope
 	closed  chan struct{}
 	once    sync.Once
 	cause   error
@@ -56,15 +56,26 @@
 	bulk
 )
 
-// Send queues e and reports whether there was room. Large messages wait on a stream of their own.
-func (l *Link) Send(e *wire.Envelope) bool {
-	select {
-	case l.queues[streamOf(e)] <- e:
-		return true
-	default:
-		l.dropped.Add(1)
-		return false
+// Send queues messages, which go out in order and together, and reports whether there was room for all. Large
+// messages wait on a stream of their own.
+func (l *Link) Send(messages ...*wire.Envelope) bool {
+	var batches [2][]*wire.Envelope
+	for _, e := range messages {
+		batches[streamOf(e)] = append(batches[streamOf(e)], e)
+	}
+	ok := true
+	for i, batch := range batches {
+		if len(batch) == 0 {
+			continue
+		}
+		select {
+		case l.queues[i] <- batch:
+		default:
+			l.dropped.Add(int64(len(batch)))
+			ok = false
+		}
 	}
+	return ok
 }
 
 // streamOf returns the stream of a message: content must not hold heartbeats up.
@@ -116,7 +127,7 @@
 	_ = conn.SetDeadline(time.Time{})
 	for i := range l.queues {
 		_ = l.streams[i].SetDeadline(time.Time{})
-		l.queues[i] = make(chan *wire.Envelope, queueLength)
+		l.queues[i] = make(chan []*wire.Envelope, queueLength)
 	}
 	return l, nil
 }
@@ -129,6 +140,7 @@
 	cfg.LogOutput = io.Discard
 	cfg.ConnectionWriteTimeout = writeTimeout
 	cfg.StreamOpenTimeout = handshakeTimeout
+	conn = &framedConn{Conn: conn}
 	var err error
 	next := func() (net.Conn, error) { return l.session.Accept() }
 	if l.Dialled {
@@ -227,9 +239,9 @@
 	w := bufio.NewWriterSize(l.streams[i], bufferBytes)
 	for {
 		select {
-		case e := <-l.queues[i]:
+		case batch := <-l.queues[i]:
 			_ = l.streams[i].SetWriteDeadline(time.Now().Add(writeTimeout))
-			if err := l.flush(w, i, e); err != nil {
+			if err := l.flush(w, i, batch); err != nil {
 				done <- err
 				return
 			}
@@ -240,14 +252,16 @@
 	}
 }
 
-// flush writes e and what else waits as one frame.
-func (l *Link) flush(w *bufio.Writer, i int, e *wire.Envelope) error {
+// flush writes the batch and what else waits as one frame.
+func (l *Link) flush(w *bufio.Writer, i int, batch []*wire.Envelope) error {
 	for {
-		if _, err := wire.Write(w, e); err != nil {
-			return err
+		for _, e := range batch {
+			if _, err := wire.Write(w, e); err != nil {
+				return err
+			}
 		}
 		select {
-		case e = <-l.queues[i]:
+		case batch = <-l.queues[i]:
 		default:
 			return w.Flush()
 		}
--- a/internal/fleet/relay/beat.go
+++ b/internal/fleet/relay/beat.go
@@ -23,7 +23,12 @@
 
 func (c *Core) beats(now time.Time) {
 	for _, p := range c.sortedPeers() {
-		if !now.Before(p.next) {
+		due := p.next
+		if c.states.asking && p.host.Zone == c.self.Zone {
+			// The state that comes soon takes the heartbeat along.
+			due = due.Add(beatSlack)
+		}
+		if !now.Before(due) {
 			c.beat(now, p)
 		}
 	}
--- a/internal/fleet/relay/carry.go
+++ b/internal/fleet/relay/carry.go
@@ -13,6 +13,8 @@
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/fleet/acceptance"
+	"shallotramp/internal/fleet/link"
+	"shallotramp/internal/fleet/wire"
 	"shallotramp/internal/platform/store"
 )
 
@@ -21,6 +23,13 @@
 
 // carryOut does what the core wants.
 func (n *Node) carryOut(ctx context.Context, effects []Effect) {
+	// Messages of one event share a frame on each link.
+	batches := map[*link.Link][]*wire.Envelope{}
+	defer func() {
+		for l, batch := range batches {
+			l.Send(batch...)
+		}
+	}()
 	for _, e := range effects {
 		switch e := e.(type) {
 		case Dial:
@@ -32,7 +41,7 @@
 			}
 		case Send:
 			if l, ok := n.links[e.Link]; ok {
-				l.Send(e.Message)
+				batches[l] = append(batches[l], e.Message)
 			}
 		case Follow:
 			n.follow(ctx, e.On)
@@ -108,8 +117,7 @@
 	s, err := n.cfg.Decisions.State(ctx)
 	n.post(func(now time.Time) []Effect {
 		if err != nil {
-			n.core.NoState()
-			return nil
+			return n.core.NoState()
 		}
 		return n.core.State(now, s)
 	})
--- a/internal/fleet/relay/core.go
+++ b/internal/fleet/relay/core.go
@@ -20,6 +20,8 @@
 	TickInterval = 100 * time.Millisecond
 	// beatInterval is how often a host tells each linked host what it has in force.
 	beatInterval = time.Second
+	// beatSlack is how long a heartbeat waits for a state that shares its frame.
+	beatSlack = 300 * time.Millisecond
 	// hintDelay is how long no relay may be heard before the lowest live host relays as a hint.
 	hintDelay = 3 * time.Second
 	// staleAfter is the age of a confirmation at which a host asks the platform itself, and
@@ -186,11 +188,11 @@
 	c.changes(c.table.Tick(now))
 	c.role(now, leased)
 	c.links(now)
+	c.exchange(now)
 	c.beats(now)
 	c.pulls(now)
 	c.platform(now)
 	c.status(now)
-	c.exchange(now)
 	return c.take()
 }
 
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -158,7 +158,10 @@
 
 // Loads passes load reports that this host polled to its zone. The caller gives them to its own decisions.
 func (n *Node) Loads(reports []dispatch.Load) {
-	n.post(func(now time.Time) []Effect { return n.core.Loads(now, reports) })
+	n.post(func(now time.Time) []Effect {
+		n.core.Loads(now, reports)
+		return nil
+	})
 }
 
 // Polls reports whether this host polls the load of the server for its zone.
--- a/internal/fleet/relay/state.go
+++ b/internal/fleet/relay/state.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,14 +16,14 @@
 	// them each link adds stateIntervalPerLink, so that the bytes of a host stay bounded as its zone grows.
 	leastStateInterval   = 250 * time.Millisecond
 	mostStateInterval    = time.Second
-	stateIntervalPerLink = 30 * time.Millisecond
+	stateIntervalPerLink = 45 * time.Millisecond
 	// Sums for other zones go less often the more zones there are.
 	leastSumInterval   = 500 * time.Millisecond
 	mostSumInterval    = 2 * time.Second
 	sumIntervalPerZone = 125 * time.Millisecond
-	// stateLimit and sumLimit bound the changes in one message.
-	stateLimit = 256
-	sumLimit   = 96
+	// stateLimit and sumLimit bound the bytes of changes in one message.
+	stateLimit = 2 << 10
+	sumLimit   = 256
 	// sourceLifetime is how long a source that is not heard counts in a sum.
 	sourceLifetime = 3 * time.Second
 	// requestInterval spaces the requests for a full state.
@@ -56,6 +57,10 @@
 	zoneSum  *exchange.Sum
 	restSum  *exchange.Sum
 	requests map[string]time.Time
+	// reports wait for the next state, to share its frame. told and heard hold what servers
+	// have loaded, as it was last sent and received.
+	reports     []*wire.Load
+	told, heard map[string][]string
 }
 
 func newStates(name, zone string) states {
@@ -64,6 +69,7 @@
 		zone:    exchange.NewEncoder(zonePrefix+zone, zone, sumLimit),
 		rest:    exchange.NewEncoder(otherZones, "", sumLimit),
 		zoneSum: exchange.NewSum(), restSum: exchange.NewSum(), requests: map[string]time.Time{},
+		told: map[string][]string{}, heard: map[string][]string{},
 	}
 }
 
@@ -104,11 +110,26 @@
 	h.Host, h.Zone = c.self.Name, c.self.Zone
 	c.states.zoneSum.Put(now, &h)
 	c.spread(true, c.states.own.Next(now, &h))
+	c.flushLoads()
+	c.beatSoon(now)
 	return c.take()
 }
 
 // NoState notes that the decisions gave no state.
-func (c *Core) NoState() { c.states.asking = false }
+func (c *Core) NoState() []Effect {
+	c.states.asking = false
+	c.flushLoads()
+	return c.take()
+}
+
+// beatSoon sends heartbeats that are due before the next state with this one.
+func (c *Core) beatSoon(now time.Time) {
+	for _, p := range c.sortedPeers() {
+		if p.host.Zone == c.self.Zone && p.next.Before(c.states.nextAsk) {
+			c.beat(now, p)
+		}
+	}
+}
 
 // spread sends a state to all linked hosts of this zone, or to those of others.
 func (c *Core) spread(near bool, m *wire.State) {
@@ -138,6 +159,8 @@
 
 // introduceStates gives a new link what its receiver needs to follow the changes.
 func (c *Core) introduceStates(now time.Time, p *peer) {
+	// The new host learns with the next reports what servers have loaded.
+	clear(c.states.told)
 	encoders := []*exchange.Encoder{c.states.own, c.states.rest}
 	if p.host.Zone != c.self.Zone {
 		encoders = []*exchange.Encoder{c.states.zone}
@@ -204,23 +227,34 @@
 	c.send(p, &wire.Envelope{Body: &wire.Envelope_StateRequest{StateRequest: &wire.StateRequest{Source: src}}})
 }
 
-// Loads takes load reports that this host polled and passes them to its zone.
-func (c *Core) Loads(now time.Time, reports []dispatch.Load) []Effect {
-	m := &wire.Loads{}
+// Loads takes load reports that this host polled, for its zone.
+func (c *Core) Loads(now time.Time, reports []dispatch.Load) {
 	for _, l := range reports {
-		m.Reports = append(m.Reports, &wire.Load{
+		m := &wire.Load{
 			Server: l.Server, Age: uint64(max(now.Sub(l.At), 0) / time.Millisecond), Running: uint64(max(l.Running, 0)),
-			Waiting: uint64(max(l.Waiting, 0)), QueuedTokens: uint64(max(l.QueuedTokens, 0)), Loaded: l.Loaded,
+			Waiting: uint64(max(l.Waiting, 0)), QueuedTokens: uint64(max(l.QueuedTokens, 0)),
 			CacheSequence: l.CacheSequence, Leaving: l.Leaving,
-		})
+		}
+		before, ok := c.states.told[l.Server]
+		if m.SameLoaded = ok && slices.Equal(before, l.Loaded); !m.SameLoaded {
+			m.Loaded = l.Loaded
+			c.states.told[l.Server] = l.Loaded
+		}
+		c.states.reports = append(c.states.reports, m)
+	}
+}
+
+func (c *Core) flushLoads() {
+	if len(c.states.reports) == 0 {
+		return
 	}
-	e := &wire.Envelope{Body: &wire.Envelope_Loads{Loads: m}}
+	e := &wire.Envelope{Body: &wire.Envelope_Loads{Loads: &wire.Loads{Reports: c.states.reports}}}
+	c.states.reports = nil
 	for _, p := range c.sortedPeers() {
 		if p.host.Zone == c.self.Zone {
 			c.send(p, e)
 		}
 	}
-	return c.take()
 }
 
 func (c *Core) loads(now time.Time, p *peer, m *wire.Loads) {
@@ -228,10 +262,13 @@
 		return
 	}
 	for _, l := range m.GetReports() {
+		if !l.GetSameLoaded() {
+			c.states.heard[l.GetServer()] = l.GetLoaded()
+		}
 		age := time.Duration(min(l.GetAge(), uint64(time.Hour/time.Millisecond))) * time.Millisecond
 		c.emit(Report{dispatch.Load{
 			Server: l.GetServer(), At: now.Add(-age), Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()),
-			QueuedTokens: int(l.GetQueuedTokens()), Loaded: l.GetLoaded(), CacheSequence: l.GetCacheSequence(), Leaving: l.GetLeaving(),
+			QueuedTokens: int(l.GetQueuedTokens()), Loaded: c.states.heard[l.GetServer()], CacheSequence: l.GetCacheSequence(), Leaving: l.GetLeaving(),
 		}})
 	}
 }
