--- a/internal/traffic/balance/measure_test.go
+++ b/internal/traffic/balance/measure_test.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -39,6 +40,28 @@
 	}
 }
 
+// BenchmarkHedging measures whether a second attempt pays that begins when the first has given no token for a while.
+func BenchmarkHedging(b *testing.B) {
+	base := scenarios["the same with a crash each minute"]
+	for _, after := range []time.Duration{0, time.Second, 2 * time.Second, 4 * time.Second} {
+		for _, load := range []float64{0.6, 0.8, 0.95} {
+			b.Run(fmt.Sprintf("load=%v/after=%v", load, after), func(b *testing.B) {
+				cfg := base
+				cfg.hedge, cfg.load = after, load
+				var all simResult
+				for i := range b.N {
+					all.add(runSim(cfg.today(uint64(i), true)))
+				}
+				b.ReportMetric(all.wait(0.99), "wait-p99-s")
+				b.ReportMetric(all.wait(0.999), "wait-p999-s")
+				b.ReportMetric(100*float64(all.lost)/float64(all.done+all.lost), "lost-%")
+				b.ReportMetric(100*float64(all.hedged)/float64(all.done+all.lost), "hedged-%")
+				b.ReportMetric(100*float64(all.rereadTokens)/float64(all.prompt), "prompt-reread-%")
+			})
+		}
+	}
+}
+
 func (r *simResult) add(o *simResult) {
 	r.waits = append(r.waits, o.waits...)
 	r.done += o.done
@@ -49,6 +72,8 @@
 	r.cached += o.cached
 	r.overfull += o.overfull
 	r.placed += o.placed
+	r.hedged += o.hedged
+	r.rereadTokens += o.rereadTokens
 	r.mostOver = max(r.mostOver, o.mostOver)
 }
 
--- a/internal/traffic/balance/sim_test.go
+++ b/internal/traffic/balance/sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -97,6 +98,8 @@
 	shared float64
 	seed   uint64
 	ours   bool
+	// hedge is the time without a first token after which a request runs a second time elsewhere; 0 is never.
+	hedge time.Duration
 }
 
 // simResult is what a run measured.
@@ -106,6 +109,7 @@
 	tokens, wasted             int
 	prompt, cached             int
 	overfull, placed, mostOver int
+	hedged, rereadTokens       int
 }
 
 func (r *simResult) wait(q float64) float64 {
@@ -152,6 +156,8 @@
 	try     int
 	cached  int
 	over    bool
+	// twin is the other attempt of a hedged request.
+	twin *simJob
 }
 
 type simHost struct {
@@ -267,9 +273,49 @@
 	}
 	j.host.queue = append(j.host.queue, j)
 	s.at(simPatience, func() { s.abandon(j) })
+	if s.cfg.hedge > 0 {
+		s.at(s.cfg.hedge, func() { s.hedge(j) })
+	}
+	s.drain(j.host)
+}
+
+// hedge runs a request that has no token yet a second time on another server.
+func (s *sim) hedge(j *simJob) {
+	if j.over || j.engine == nil || !j.first.IsZero() {
+		return
+	}
+	r := *j.req
+	r.ID += "h"
+	t := &simJob{req: &r, host: j.host, length: j.length, exclude: []string{j.engine.name}, twin: j}
+	j.twin = t
+	j.host.queue = append(j.host.queue, t)
+	s.at(simPatience-s.cfg.hedge, func() { s.abandon(t) })
 	s.drain(j.host)
 }
 
+// win ends the other attempt of a hedged request at the first token of j.
+func (s *sim) win(j *simJob) {
+	loser := j.twin
+	if loser == nil || loser.over {
+		return
+	}
+	loser.over = true
+	j.twin = nil
+	s.res.hedged++
+	if loser.engine == nil {
+		h := loser.host
+		h.queue = slices.DeleteFunc(h.queue, func(q *simJob) bool { return q == loser })
+		return
+	}
+	e := loser.engine
+	if e.running[loser] {
+		s.res.rereadTokens += simPrompt - loser.cached
+	}
+	s.leave(e, loser)
+	loser.host.c.Finished(s.now, loser.req, request.Result{ID: loser.req.ID, Server: e.name, Outcome: request.Cancelled})
+	s.drain(loser.host)
+}
+
 // prefix returns the blocks of a prompt: with a chance, all but the last two are those of a group.
 func (s *sim) prefix() []uint64 {
 	group := s.rng.Uint64()
@@ -376,6 +422,7 @@
 	}
 	if j.first.IsZero() {
 		j.first = s.now
+		s.win(j)
 	}
 	j.got++
 	if j.got%16 == 0 {
@@ -419,6 +466,11 @@
 
 func (s *sim) lose(j *simJob) {
 	j.over = true
+	if j.twin != nil && !j.twin.over {
+		// The other attempt still counts.
+		j.twin.twin = nil
+		return
+	}
 	s.res.lost++
 	s.res.waits = append(s.res.waits, simPatience.Seconds())
 }
