console, dispatch: operators see and lift the marks of requests that crash servers

Cause: the marks were kept and nobody could look at them. GET and DELETE /suspects on the operators' listener, through the loop to the policy.

--- a/internal/entry/host/fleet.go
+++ b/internal/entry/host/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"shallotramp/internal/entry/console"
 	"shallotramp/internal/fleet/lease"
 	"shallotramp/internal/fleet/link"
 	"shallotramp/internal/fleet/member"
@@ -133,7 +134,8 @@
 // fleetPages are the pages about other hosts on the operators' listener.
 func (h *Host) fleetPages() map[string]http.HandlerFunc {
 	pages := map[string]http.HandlerFunc{
-		"/events": func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.events.Recent()) },
+		"/events":   func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.events.Recent()) },
+		"/suspects": console.ServeMarks(h.loop),
 	}
 	if h.node != nil {
 		pages["/fleet"] = func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.node.View()) }
