scheduler: charge an organisation once for the input of a request

Cause: work that was preempted or lost its server was charged for its input again, so the organisations that were preempted most got least.

--- a/internal/traffic/scheduler/entry.go
+++ b/internal/traffic/scheduler/entry.go
@@ -44,7 +44,16 @@
 }
 
 // work returns the work of the running attempt so far.
-func (e *entry) work() float64 { return queue.Work(e.req.PromptTokens, float64(e.generated)) }
+func (e *entry) work() float64 { return queue.Work(e.prompt(), float64(e.generated)) }
+
+// prompt returns the input that an attempt is charged: an organisation does not pay for what is read
+// again after a preemption or a fault.
+func (e *entry) prompt() int {
+	if e.before > 0 {
+		return 0
+	}
+	return e.req.PromptTokens
+}
 
 // waste estimates the work that is done again when the running attempt is preempted: its
 // input and what it generated are read again.
--- a/internal/traffic/scheduler/pool.go
+++ b/internal/traffic/scheduler/pool.go
@@ -140,7 +140,7 @@
 	if limit := e.req.MaxTokens; limit > 0 {
 		n = min(n, float64(max(1, limit-e.before)))
 	}
-	return queue.Work(e.req.PromptTokens, n)
+	return queue.Work(e.prompt(), n)
 }
 
 // tokens returns the expected input and output of a new request.
--- a/internal/traffic/scheduler/sim_test.go
+++ b/internal/traffic/scheduler/sim_test.go
@@ -642,14 +642,20 @@
 		demand, got := make([]float64, len(s.d.offers)), make([]float64, len(s.d.offers))
 		var total float64
 		for _, j := range s.jobs {
-			if j.req.Tier != tier || !j.over || !j.possible() {
+			if j.req.Tier != tier || !j.over && j.engine == nil || !j.possible() {
 				continue
 			}
 			var org int
 			_, _ = fmt.Sscanf(j.req.Organisation, "org-%d", &org)
 			w := queue.Work(j.req.PromptTokens, float64(j.length))
 			demand[org] += w
-			if j.completed {
+			switch {
+			case !j.over:
+				// What runs at the end counts as far as it is.
+				w = queue.Work(j.req.PromptTokens, float64(j.from+j.output))
+				got[org] += w
+				total += w
+			case j.completed:
 				got[org] += w
 				total += w
 			}
