scheduler: tell a level only after it was applied for 2.5 s

Cause: a host that let its level go for a moment, started a lower tier and took the level up again between two sums for other zones seemed to have applied it throughout, so another host shed a higher tier.

--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -67,6 +67,9 @@
 // its level for a while, so that no lower tier is served beyond its floor meanwhile.
 type level struct {
 	wanted, applied int
+	// told is the level that other hosts are told as applied, and pending one that is told soon.
+	told, pending int
+	pendingAt     time.Time
 	// wantedAt is when any host was last known to want a level.
 	wantedAt time.Time
 	// until is when an applied level ends that nobody wants any more.
@@ -83,6 +86,9 @@
 	hardShare = 30
 	// levelHold is how long a level stays after nobody wants it.
 	levelHold = 2 * time.Second
+	// tellTime is how long a level has been applied before it is told, so that every lapse shows in
+	// what the hosts tell, also in sums that go to other zones every 2 s.
+	tellTime = 2500 * time.Millisecond
 	// settleTime is how long all hosts have applied a level before work of its tier is shed.
 	settleTime = time.Second
 )
@@ -111,9 +117,24 @@
 	if want != 0 && (l.applied == 0 || want <= l.applied) || !now.Before(l.until) {
 		l.applied, l.until = want, now.Add(levelHold)
 	}
+	l.tell(now)
 	p.agree(now)
 }
 
+// tell updates what is told: a weaker level at once, a stronger one after a while.
+func (l *level) tell(now time.Time) {
+	switch {
+	case l.applied == 0:
+		l.told, l.pending = 0, 0
+	case l.told != 0 && l.applied >= l.told:
+		l.told, l.pending = l.applied, 0
+	case l.pending != l.applied:
+		l.pending, l.pendingAt = l.applied, now
+	case now.Sub(l.pendingAt) >= tellTime:
+		l.told, l.pending = l.applied, 0
+	}
+}
+
 // higher returns the higher of two tiers, where 0 is none.
 func higher(a, b int) int {
 	if a == 0 || b != 0 && b < a {
