--- /dev/null
+++ b/internal/traffic/scheduler/start.go
@@ -0,0 +1,168 @@
+package scheduler
+
+import (
+	"time"
+
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/queue"
+)
+
+func (p *Policy) enqueue(now time.Time, e *entry, due time.Time) {
+	e.item = &queue.Item{Request: e.req, Due: due, Cost: e.pool.estimate(e), Resumed: e.starts > 0}
+	e.pool.q.Push(now, e.item)
+	p.waiting++
+}
+
+// settle brings a pool's queue in line with its servers: starts what may start, sheds what must go.
+func (p *Policy) settle(now time.Time, pl *pool) []dispatch.Effect {
+	pl.assess(now, p.slots(pl))
+	out := p.start(now, pl)
+	for _, it := range pl.overload(now, p.slots(pl)) {
+		out = append(out, p.shed(now, it, "more work of its tier waits than can start in time"))
+	}
+	for p.waiting > maxWaiting {
+		it := p.lowest(now)
+		if it == nil {
+			break
+		}
+		out = append(out, p.shed(now, it, "the host's queue is full"))
+	}
+	return append(out, p.preempt(now, pl)...)
+}
+
+// lowest removes the least worthy waiting request of the host: of its lowest tier.
+func (p *Policy) lowest(now time.Time) *queue.Item {
+	var class *queue.Class
+	var from *pool
+	for _, pl := range p.pools {
+		for _, c := range pl.q.Classes() {
+			if c.Sheddable() > 0 && (class == nil || c.Tier > class.Tier || c.Tier == class.Tier && pl.name < from.name) {
+				class, from = c, pl
+			}
+		}
+	}
+	if class == nil {
+		return nil
+	}
+	if items := from.q.Shed(now, class, class.Sheddable()-1, queue.Cut{}); len(items) > 0 {
+		return items[0]
+	}
+	return nil
+}
+
+// shed refuses an item that has left its queue.
+func (p *Policy) shed(now time.Time, it *queue.Item, why string) dispatch.Effect {
+	p.waiting--
+	return p.refuse(now, p.entries[it.Request.ID], dispatch.Overload, why)
+}
+
+func (p *Policy) slots(pl *pool) int { return max(1, p.chooser.Usable(pl.name)*pl.concurrency) }
+
+// start starts waiting work while servers have room.
+func (p *Policy) start(now time.Time, pl *pool) []dispatch.Effect {
+	var out []dispatch.Effect
+	var aside []*entry
+	slots := p.slots(pl)
+	for len(aside) < setAside {
+		s := queue.Supply{
+			Slots: slots, Level: pl.level.applied, Free: pl.free(slots),
+			Room: func(rank int) bool { return p.room(now, pl, rank, slots) },
+		}
+		it, floor := pl.q.Next(now, s)
+		if it == nil {
+			break
+		}
+		e := p.entries[it.Request.ID]
+		name, why, ok := p.choose(now, e, floor)
+		p.unqueue(now, e)
+		if !ok {
+			aside = append(aside, e)
+			continue
+		}
+		if floor {
+			why = floorWhy + why
+		}
+		out = append(out, p.run(now, e, name, why))
+	}
+	for _, e := range aside {
+		p.enqueue(now, e, e.item.Due)
+	}
+	return out
+}
+
+// reserveShare is the share of a pool's places that only its first tier may use.
+const reserveShare = 0.15
+
+// room reports whether work of a rank may start: a server has room, and lower tiers leave the
+// first one some places, so that it need not wait for a long answer to end.
+func (p *Policy) room(now time.Time, pl *pool, rank, slots int) bool {
+	if rank > 1 {
+		usable := (1 - reserveShare) * float64(slots)
+		own, all := pl.running()
+		if float64(all) >= usable || float64(own) >= pl.quota(usable) {
+			return false
+		}
+	}
+	return p.chooser.Room(now, pl.name, rank)
+}
+
+// floorWhy begins the explanation of a start that a floor gave.
+const floorWhy = "floor of the class; "
+
+// choose asks for a server, at first without those that failed the request before.
+// A floor's start may take the places that are kept for the first tier.
+func (p *Policy) choose(now time.Time, e *entry, floor bool) (name, why string, ok bool) {
+	if e.isolate {
+		return p.chooseApart(now, e)
+	}
+	r := e.req
+	if floor {
+		first := *r
+		first.Tier = e.pool.q.Classes()[0].Tier
+		r = &first
+	}
+	if name, why, ok = p.chooser.Choose(now, r, e.exclude); ok || len(e.exclude) == 0 {
+		return name, why, ok
+	}
+	if len(e.exclude) < p.chooser.Usable(e.req.Pool) {
+		return "", "", false
+	}
+	return p.chooser.Choose(now, r, nil)
+}
+
+func (p *Policy) unqueue(now time.Time, e *entry) {
+	if e.item != nil && e.item.Waiting() {
+		e.pool.q.Remove(now, e.item)
+		p.waiting--
+	}
+}
+
+func (p *Policy) run(now time.Time, e *entry, server, why string) dispatch.Effect {
+	e.server, e.started = server, now
+	e.starts++
+	e.generated = 0
+	e.charged, e.told = 0, 0
+	p.charge(now, e, e.item.Cost)
+	e.pool.q.Started(now, e.req.Class)
+	p.chooser.Started(now, e.req, server)
+	p.suspect.Started(now, e.req.Fingerprint, e.req.ID, server)
+	if e.isolate {
+		p.isolated[server] = e.req.ID
+	}
+	p.offerVictim(e)
+	return dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: server, Attempt: e.starts, Why: why}
+}
+
+// charge adds expected work to what the organisation had, or takes it back when negative.
+func (p *Policy) charge(now time.Time, e *entry, work float64) {
+	e.charged += work
+	e.pool.q.Charge(now, e.req.Class, e.req.Organisation, work)
+}
+
+// tell adds work that was done to what other hosts are told. Estimates are not told, so that totals never fall.
+func (p *Policy) tell(now time.Time, e *entry, work float64) {
+	if work > e.told {
+		p.served.add(now, e.req.Class, e.req.Organisation, work-e.told)
+		e.told = work
+	}
+}
