--- a/internal/traffic/balance/bench_test.go
+++ b/internal/traffic/balance/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -95,6 +96,51 @@
 	return s.best
 }
 
+// BenchmarkFullFleet measures a choice that finds no server with room, while time passes.
+func BenchmarkFullFleet(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("servers=%d", size.servers), func(b *testing.B) {
+			bal, reqs := newFleet(size)
+			for i := range size.servers {
+				// The reports do not age in the run.
+				at := start.Add(1000 * time.Hour)
+				for k := range 10 {
+					bal.Report(at.Add(time.Duration(k)), dispatch.Load{Server: fmt.Sprintf("s%04d", i), At: at.Add(time.Duration(k)), Running: 99, Loaded: []string{"m"}})
+				}
+			}
+			now := start
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(100 * time.Microsecond)
+				if _, _, ok := bal.Choose(now, reqs[i%len(reqs)], nil); ok {
+					b.Fatal("a full server was chosen")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMemory measures what a balancer keeps, with the view of the caches full.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range fleetSizes {
+		b.Run(fmt.Sprintf("servers=%d", size.servers), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for range b.N {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				bal, _ := newFleet(size)
+				for block := range uint64(2 * maxBlocks) {
+					bal.cache.store(bal.servers[fmt.Sprintf("s%04d", block%uint64(size.servers))], block)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(bal)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
+		})
+	}
+}
+
 // BenchmarkEvents measures what the fleet's events cost at the two-year size.
 func BenchmarkEvents(b *testing.B) {
 	size := fleetSizes[len(fleetSizes)-1]
--- a/internal/traffic/balance/choose.go
+++ b/internal/traffic/balance/choose.go
@@ -118,10 +118,13 @@
 	return first.best.spec.Name, second.best.spec.Name, true
 }
 
+// noClass stands for a class that the release in force does not have.
+var noClass object.ClassSpec
+
 // search finds the server for a target.
 func (b *Balancer) search(now time.Time, r *request.Request, p *pool, t target, exclude []string) search {
 	b.exclude.set(b, exclude)
-	s := search{b: b, now: now, r: r, p: p, target: t, list: p.target(t), class: &object.ClassSpec{}}
+	s := search{b: b, now: now, r: r, p: p, target: t, list: p.target(t), class: &noClass}
 	if c, ok := b.snap.Set.Classes[r.Class]; ok {
 		s.class, s.cheap = c, c.Reclaimable
 	}
