--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -29,6 +29,10 @@
 	FleetCA        string           `help:"PEM file with the authority of all hosts' certificates." type:"path" env:"SHALLOTRAMP_FLEET_CA"`
 	FleetSeeds     []netip.AddrPort `help:"Hosts to ask for others when the platform's list cannot be read." env:"SHALLOTRAMP_FLEET_SEEDS"`
 
+	Reports     string        `help:"Base URL of the platform's interface for usage reports; without it windows are kept and not reported." env:"SHALLOTRAMP_REPORTS"`
+	UsageWindow time.Duration `help:"Length of a usage window; the same on all hosts." default:"1h" env:"SHALLOTRAMP_USAGE_WINDOW"`
+	UsageGrace  time.Duration `help:"Time from a window's end to its freeze." default:"2m" env:"SHALLOTRAMP_USAGE_GRACE"`
+
 	DrainDelay    time.Duration `help:"Time between readiness off and the end of new requests at a planned stop." default:"5s" env:"SHALLOTRAMP_DRAIN_DELAY"`
 	DrainTimeout  time.Duration `help:"Longest wait for open requests at a planned stop." default:"10m" env:"SHALLOTRAMP_DRAIN_TIMEOUT"`
 	BodyLimit     int64         `help:"Largest body of a request, in bytes." default:"8388608" env:"SHALLOTRAMP_BODY_LIMIT"`
@@ -65,6 +69,7 @@
 		Name: name, Zone: c.Zone, Callers: c.Callers, Operators: c.Operators,
 		DrainDelay: c.DrainDelay, DrainTimeout: c.DrainTimeout,
 		Limits: gateway.Limits{BodyBytes: c.BodyLimit, HeaderBytes: c.HeaderLimit, ReadTime: c.ReadTimeout, WriteStall: c.WriteTimeout},
+		Usage:  host.Usage{Reports: c.Reports, Window: c.UsageWindow, Grace: c.UsageGrace},
 		Fleet: host.Fleet{
 			Listen: c.FleetListen, Advertise: c.FleetAdvertise, CertFile: c.FleetCert, KeyFile: c.FleetKey, CAFile: c.FleetCA, Seeds: c.FleetSeeds,
 		},
--- a/internal/engine/fake/service.go
+++ b/internal/engine/fake/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -72,6 +73,8 @@
 	mu     sync.Mutex
 	faults ServiceFaults
 	runs   map[string]int
+	// running counts the calls in the service.
+	running int
 }
 
 // NewService returns a service without runs.
@@ -80,6 +83,7 @@
 	s.mux.HandleFunc("GET /seen", s.ServeSeen)
 	s.mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(s.Runs()) })
 	s.mux.HandleFunc("PUT /faults", s.serveFaults)
+	s.mux.HandleFunc("GET /metrics", s.metrics)
 	s.mux.HandleFunc("/", s.call)
 	return s
 }
@@ -115,13 +119,27 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// metrics reports the load in the form of the engines.
+func (s *Service) metrics(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	running := s.running
+	s.mu.Unlock()
+	fmt.Fprintf(w, "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running %d\n", running)
+}
+
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	f := s.faults
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 	}
+	s.running++
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+	}()
 	if f.Gone {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/engine/load/load.go
+++ b/internal/engine/load/load.go
@@ -84,6 +84,8 @@
 	load   dispatch.Load
 	// listed tells that the poll read the list of models.
 	listed bool
+	// untold results show that the server lives, and nothing of its load.
+	untold bool
 	at     time.Time
 	err    error
 }
@@ -237,6 +239,9 @@
 		p.log.Info().Str("Server", v.spec.Name).Msg("backend server answers again")
 	}
 	v.failures = 0
+	if r.untold {
+		return
+	}
 	if r.listed {
 		v.models, v.modelsAt = r.load.Loaded, r.at
 	}
--- a/internal/engine/load/load_test.go
+++ b/internal/engine/load/load_test.go
@@ -191,3 +191,28 @@
 		}
 	})
 }
+
+// TestPlainServiceNeedNotTellItsLoad polls services that answer /metrics as they like.
+func TestPlainServiceNeedNotTellItsLoad(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"with JSON":     func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"Path":"/metrics"}`)) },
+		"with an error": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"not at all":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(h)
+			defer srv.Close()
+			p := New("z", &release.Holder{}, nil)
+			v := &server{spec: &object.BackendServerSpec{Name: "s"}, protocol: object.Service}
+			go p.poll(t.Context(), v, strings.TrimPrefix(srv.URL, "http://"), false)
+			if r := <-p.results; r.err != nil {
+				t.Errorf("the service counts as gone: %v", r.err)
+			}
+			v.protocol = object.Engine
+			go p.poll(t.Context(), v, strings.TrimPrefix(srv.URL, "http://"), false)
+			if r := <-p.results; (r.err == nil) != (name == "not at all") || r.untold {
+				t.Errorf("an engine that answers so gave %v", r.err)
+			}
+		})
+	}
+}
--- a/internal/engine/load/read.go
+++ b/internal/engine/load/read.go
@@ -8,10 +8,12 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 	"github.com/tidwall/gjson"
 
+	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/traffic/dispatch"
 )
 
@@ -42,6 +44,10 @@
 	defer cancel()
 	r := result{server: v}
 	r.load, r.err = p.readMetrics(ctx, "http://"+address+"/metrics")
+	if v.protocol == object.Service && answered(r.err) {
+		// A plain service need not tell its load: any answer shows that it lives.
+		r.err, r.untold = nil, true
+	}
 	if r.err == nil && list {
 		r.load.Loaded, r.err = p.readModels(ctx, "http://"+address+"/v1/models")
 		r.listed = r.err == nil
@@ -50,6 +56,13 @@
 	p.results <- r
 }
 
+// answered reports whether a failure to read a load came with an answer.
+func answered(err error) bool {
+	var answer *AnswerError
+	var text expfmt.ParseError
+	return errors.As(err, &answer) || errors.As(err, &text)
+}
+
 // get returns the status and the body of an answer.
 func (p *Poller) get(ctx context.Context, url string) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
--- a/internal/entry/host/fleet.go
+++ b/internal/entry/host/fleet.go
@@ -86,7 +86,6 @@
 		_ = ln.Close()
 		return err
 	}
-	h.leases = lease.NewManager(st, h.cfg.Name)
 	role := &relayRole{manager: h.leases, name: "relay-" + h.cfg.Zone}
 	h.node = relay.NewNode(relay.Config{
 		Self: member.Host{
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/engine/load"
 	"shallotramp/internal/entry/console"
 	"shallotramp/internal/entry/gateway"
 	"shallotramp/internal/fleet/lease"
@@ -26,7 +27,9 @@
 	"shallotramp/internal/traffic/claim"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/scheduler"
+	"shallotramp/internal/usage/ledger"
 	"shallotramp/internal/usage/meter"
+	"shallotramp/internal/usage/reporter"
 )
 
 // Config holds the settings of a host.
@@ -41,8 +44,12 @@
 	DrainTimeout time.Duration
 	Limits       gateway.Limits
 	Fleet        Fleet
+	Usage        Usage
 }
 
+// usageCloseTimeout bounds the writing of usage at a planned stop.
+const usageCloseTimeout = 30 * time.Second
+
 // enforceInterval is how often open requests are checked against the release in force.
 const enforceInterval = time.Second
 
@@ -64,10 +71,14 @@
 	callers  net.Listener
 	console  net.Listener
 	events   *event.Log
-	// node and leases are nil without links to other hosts.
+	// node is nil without links to other hosts.
 	node   *relay.Node
 	leases *lease.Manager
 	claims *claim.Book
+	poller *load.Poller
+	ledger *ledger.Ledger
+	// reporter is nil where usage is not reported.
+	reporter *reporter.Reporter
 }
 
 // New returns a Host that listens at once, so that its addresses are known, and serves when run.
@@ -77,25 +88,44 @@
 		meter: meter.New(), book: explain.NewBook(), metrics: metrics.NewSet(),
 		events: event.New(eventsKept), claims: claim.NewBook(st, cfg.Name),
 	}
-	h.loop = dispatch.NewLoop(scheduler.New(rand.Uint64(), scheduler.WithZone(cfg.Zone)))
-	h.gateway = gateway.New(cfg.Zone, h.holder, h.loop, gateway.WithLog(log), gateway.WithMetrics(h.metrics),
-		gateway.WithBook(h.book), gateway.WithCounter(h.meter), gateway.WithLimits(cfg.Limits), gateway.WithClaims(h.claims))
-	var err error
-	if h.callers, err = net.Listen("tcp", cfg.Callers.String()); err != nil {
-		return nil, errors.Wrap(err, "the callers' listener cannot start; free the address or set --callers")
-	}
-	if h.console, err = net.Listen("tcp", cfg.Operators.String()); err != nil {
-		_ = h.callers.Close()
-		return nil, errors.Wrap(err, "the operators' listener cannot start; free the address or set --operators")
+	h.loop = dispatch.NewLoop(scheduler.New(rand.Uint64(), scheduler.WithZone(cfg.Zone)), dispatch.WithObserver(h.observe))
+	h.leases = lease.NewManager(st, cfg.Name)
+	if err := h.listen(); err != nil {
+		return nil, err
 	}
 	if err := h.join(st); err != nil {
 		_ = h.callers.Close()
 		_ = h.console.Close()
 		return nil, err
 	}
+	h.preparePoller()
+	h.prepareUsage()
+	h.gateway = gateway.New(cfg.Zone, h.holder, h.loop, gateway.WithLog(log), gateway.WithMetrics(h.metrics),
+		gateway.WithBook(h.book), gateway.WithCounter(h.meter), gateway.WithLimits(cfg.Limits),
+		gateway.WithClaims(h.claims), gateway.WithAccounts(h.openAccount))
 	return h, nil
 }
 
+func (h *Host) listen() error {
+	var err error
+	if h.callers, err = net.Listen("tcp", h.cfg.Callers.String()); err != nil {
+		return errors.Wrap(err, "the callers' listener cannot start; free the address or set --callers")
+	}
+	if h.console, err = net.Listen("tcp", h.cfg.Operators.String()); err != nil {
+		_ = h.callers.Close()
+		return errors.Wrap(err, "the operators' listener cannot start; free the address or set --operators")
+	}
+	return nil
+}
+
+// observe keeps decisions that no request's own goroutine sees.
+func (h *Host) observe(e dispatch.Effect) {
+	if e.Kind == dispatch.Preempt {
+		h.book.Note(e.ID, time.Now(), "preempted", e.Why)
+		h.metrics.GetOrCreateCounter("preemptions_total").Inc()
+	}
+}
+
 // CallersURL returns the base URL of the callers' listener.
 func (h *Host) CallersURL() string { return "http://" + h.callers.Addr().String() }
 
@@ -106,12 +136,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	parts := []func(context.Context, chan<- error){h.loop.Run, h.enforce, h.claims.Run}
-	if h.node != nil {
-		parts = append(parts, h.node.Run, h.leases.Run)
-	} else {
-		parts = append(parts, h.follower().Run)
-	}
+	parts := h.parts()
 	done := make(chan error, len(parts))
 	for _, run := range parts {
 		go run(work, done)
@@ -141,6 +166,20 @@
 	return err
 }
 
+// parts returns what runs beside the listeners.
+func (h *Host) parts() []func(context.Context, chan<- error) {
+	out := []func(context.Context, chan<- error){h.loop.Run, h.enforce, h.claims.Run, h.leases.Run, h.poller.Run, h.ledger.Run}
+	if h.node != nil {
+		out = append(out, h.node.Run)
+	} else {
+		out = append(out, h.follower().Run)
+	}
+	if h.reporter != nil {
+		out = append(out, h.reporter.Run)
+	}
+	return out
+}
+
 func serve(s *http.Server, ln net.Listener, served chan<- error) {
 	err := s.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) {
@@ -167,10 +206,15 @@
 	time.Sleep(h.cfg.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), h.cfg.DrainTimeout)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		return errors.Wrapf(err, "%d requests were still open after --drain-timeout; raise it to let them finish", h.gateway.Open())
+	err := callers.Shutdown(ctx)
+	if err != nil {
+		err = errors.Wrapf(err, "%d requests were still open after --drain-timeout; raise it to let them finish", h.gateway.Open())
+		_ = callers.Close()
 	}
-	return nil
+	// What requests used is complete only now; a host that cannot write it leaves it to the reporter.
+	ctx, cancel = context.WithTimeout(context.Background(), usageCloseTimeout)
+	defer cancel()
+	return errors.CombineErrors(err, errors.Wrap(h.ledger.Close(ctx), "the host's usage was not written; the reporter books it from the backend servers' counts"))
 }
 
 func (h *Host) follower() *release.Follower {
--- a/internal/trial/demo/demo.go
+++ b/internal/trial/demo/demo.go
@@ -36,6 +36,9 @@
 	engineSlots   = 8
 	tokenInterval = 5 * time.Millisecond
 	prefillToken  = 20 * time.Microsecond
+	usageWindow   = 5 * time.Second
+	usageGrace    = 2 * time.Second
+	usageTimeout  = 40 * time.Second
 	readyTimeout  = 15 * time.Second
 	drainDelay    = 200 * time.Millisecond
 	drainTimeout  = 30 * time.Second
@@ -57,10 +60,13 @@
 	log      zerolog.Logger
 	set      *object.Set
 	platform *platformfake.Store
-	engines  map[string]*enginefake.Engine
-	services map[string]*enginefake.Service
-	hosts    []*host.Host
-	servers  []*http.Server
+	// reports is the platform's receiver of usage reports at reportsURL.
+	reports    *platformfake.Reports
+	reportsURL string
+	engines    map[string]*enginefake.Engine
+	services   map[string]*enginefake.Service
+	hosts      []*host.Host
+	servers    []*http.Server
 	// authority signs the certificates of the hosts.
 	authority *testcert.Authority
 	cancel    context.CancelFunc
@@ -72,7 +78,7 @@
 // the ports after it; port 0 lets the system choose each.
 func Start(ctx context.Context, listen netip.AddrPort, log zerolog.Logger) (*Demo, error) {
 	d := &Demo{
-		log: log, platform: platformfake.NewStore(), next: listen,
+		log: log, platform: platformfake.NewStore(), reports: platformfake.NewReports(), next: listen,
 		engines: map[string]*enginefake.Engine{}, services: map[string]*enginefake.Service{},
 		ended:     make(chan error, len(hostZones)),
 		Addresses: Addresses{Keys: map[string]string{}, StandIns: map[string]string{}},
@@ -95,6 +101,9 @@
 		return err
 	}
 	d.Addresses.Platform = url
+	if d.reportsURL, err = d.serve(d.reports.Handler()); err != nil {
+		return err
+	}
 	if err := d.fillObjects(); err != nil {
 		return err
 	}
@@ -182,6 +191,7 @@
 	h, err := host.New(host.Config{
 		Name: hostName(i), Zone: zone, Callers: callers, Operators: d.address(),
 		DrainDelay: drainDelay, DrainTimeout: drainTimeout,
+		Usage: host.Usage{Reports: d.reportsURL, Window: usageWindow, Grace: usageGrace},
 		Fleet: host.Fleet{Listen: d.address(), Material: certificate},
 	}, store.NewClient(d.Addresses.Platform), d.log.With().Str("Host", hostName(i)).Logger())
 	if err != nil {
--- a/internal/usage/ledger/ledger.go
+++ b/internal/usage/ledger/ledger.go
@@ -203,7 +203,7 @@
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
 	defer cancel()
 	l.resolve(ctx)
-	if !last && l.idle() {
+	if !last && l.idle() || last && l.unused() {
 		return nil
 	}
 	var err error
@@ -231,6 +231,13 @@
 	return time.Since(l.written) < idleInterval
 }
 
+// unused reports whether the host counted nothing since it started and has no object to close.
+func (l *Ledger) unused() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.created && l.next == 1 && len(l.ended) == 0 && l.first == 0
+}
+
 // load reads the ledger's object, or creates it, unless its newest version is known.
 func (l *Ledger) load(ctx context.Context) error {
 	if l.base != nil {
