gateway: an answer that cannot be resumed is not preempted

Cause: preemption cancelled a stream with tool calls or several choices, which cannot go on elsewhere, so its caller would have got an error.

--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -35,7 +35,10 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	t.OnPreempt(func() { cancel(errPreempted) })
+	if !c.answer.unresumable {
+		t.OnPreempt(func() { cancel(errPreempted) })
+	}
+	c.keep = func() { t.OnPreempt(nil) }
 	defer t.OnPreempt(nil)
 	ctx, span := g.tracer.Start(ctx, "backend call", trace.WithAttributes(
 		attribute.String("server", e.Server), attribute.Int("attempt", e.Attempt)))
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -19,15 +19,17 @@
 
 // call is one caller's request on its way through the host.
 type call struct {
-	w       http.ResponseWriter
-	r       *http.Request
-	req     *request.Request
-	route   *object.RouteSpec
-	digest  string
-	secret  string
-	body    []byte
-	snap    *release.Snapshot
-	end     context.CancelCauseFunc
+	w      http.ResponseWriter
+	r      *http.Request
+	req    *request.Request
+	route  *object.RouteSpec
+	digest string
+	secret string
+	body   []byte
+	snap   *release.Snapshot
+	end    context.CancelCauseFunc
+	// keep rules out that the running attempt is preempted.
+	keep    func()
 	account Account
 	once    once
 	// answer is what the caller has got so far.
--- a/internal/entry/gateway/relay.go
+++ b/internal/entry/gateway/relay.go
@@ -94,7 +94,7 @@
 		return s.usageEvent(data)
 	}
 	if !e.plain {
-		s.c.answer.unresumable = true
+		s.unresumable()
 	}
 	if s.before > 0 && e.text == "" && !e.finished {
 		// The caller got the opening event from the first attempt.
@@ -139,7 +139,7 @@
 		s.c.answer.first = s.res.FirstToken
 	}
 	if len(s.c.answer.text)+len(text) > maxResumeBytes {
-		s.c.answer.unresumable = true
+		s.unresumable()
 	} else {
 		s.c.answer.text = append(s.c.answer.text, text...)
 	}
@@ -212,3 +212,9 @@
 	s.res.Outcome = request.Completed
 	return nil
 }
+
+// unresumable notes that the answer cannot be resumed, so that it must not be preempted either.
+func (s *stream) unresumable() {
+	s.c.answer.unresumable = true
+	s.c.keep()
+}
