--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -1,8 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"shallotramp/internal/traffic/queue"
@@ -229,7 +230,7 @@
 
 // lineOf returns the use before which n of the sampled requests come.
 func lineOf(list []sample, n float64) float64 {
-	sort.Slice(list, func(i, j int) bool { return list[i].use < list[j].use })
+	slices.SortFunc(list, func(a, b sample) int { return cmp.Compare(a.use, b.use) })
 	for _, s := range list {
 		if n -= s.count; n < 0 {
 			return s.use
