--- a/spec/order.pml
+++ b/spec/order.pml
@@ -116,6 +116,7 @@
 idle:
   if
   :: LOST -> goto lost                                                /* chart order Idle Lose Stopped */
+  :: !LOST && open && version != rv -> goto reading                   /* chart order Idle Doubt Reading */
   :: ri != me + 1 && taken[me + 1] == 0 && !recorded[me + 1] ->
      mine = me + 1; doubt = false;
 #ifdef NO_RECORD
