--- a/internal/entry/gateway/claim.go
+++ b/internal/entry/gateway/claim.go
@@ -32,6 +32,7 @@
 	claim.Ran:        {Kind: Conflicting, Code: "already_ran", Message: "the call ran, but its answer is no longer kept", Remedy: "ask the service for its state; do not send it under a new key", Ran: request.DidRun},
 	claim.MayHaveRun: {Kind: Conflicting, Code: "may_have_run", Message: "an earlier request with this Idempotency-Key has no known outcome", Remedy: "resend with the same key, and ask the service for its state before you use a new one", Ran: request.MayHaveRun},
 	claim.Unasked:    {Kind: Unavailable, Code: "claim_unavailable", Message: "the call was not sent now, for it could not be claimed; an earlier request with this Idempotency-Key may have run", Remedy: "resend with the same key after the time in Retry-After", Ran: request.MayHaveRun, RetryAfter: platformRetryAfter},
+	claim.NeverRan:   {Kind: Unavailable, Code: "not_sent", Message: "the call was claimed and not sent in time", Remedy: "resend with the same key"},
 	claim.OtherPrint: {Kind: Conflicting, Code: "key_reused", Message: "the Idempotency-Key was used for another call, which may have run", Remedy: "use a new key for a new call, and the same body when you resend one", Ran: request.MayHaveRun},
 }
 
@@ -68,12 +69,31 @@
 		Print:    claim.PrintOf(c.r.Method, c.r.URL.RequestURI(), c.body),
 		Deadline: c.req.Deadline,
 	})
-	if answer != nil {
+	switch {
+	case answer == nil:
+		c.once.ticket = t
+		return true
+	case ctx.Err() != nil && answer.Verdict != claim.Replay:
+		c.once.settled = true
+		g.interruptedLook(ctx, c, *answer)
+	default:
 		g.tell(c, *answer)
-		return false
 	}
-	c.once.ticket = t
-	return true
+	return false
+}
+
+// interruptedLook ends a call whose deadline, key or caller ended while it waited for an earlier request.
+func (g *Gateway) interruptedLook(ctx context.Context, c *call, a claim.Answer) {
+	f, ok := context.Cause(ctx).(*Fault)
+	if !ok {
+		return
+	}
+	out := *f
+	if a.Verdict != claim.NeverRan {
+		out.Ran = request.MayHaveRun
+	}
+	g.book.Note(c.req.ID, time.Now(), "ended", out.Code)
+	out.write(c.w, c.req.ID)
 }
 
 // tell answers c from the claim of an earlier request, or with what is known of it.
--- a/internal/entry/gateway/claim_test.go
+++ b/internal/entry/gateway/claim_test.go
@@ -144,6 +144,27 @@
 	}
 }
 
+func TestDeadlineOfAResendThatWaits(t *testing.T) {
+	_, a, b := twoHosts(t)
+	a.service.SetFaults(enginefake.ServiceFaults{Delay: 500 * time.Millisecond})
+	done := make(chan int, 1)
+	go func() {
+		res, _ := a.book("k", "wardrobe")
+		done <- res.StatusCode
+	}()
+	for len(a.service.Seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	res, text := b.post("/book/slot", secretA, "wardrobe", "Idempotency-Key", "k", "X-Request-Timeout", "0.1")
+	// The wait and the request end at the same time; whichever is told first tells the same of the run.
+	if s := res.StatusCode; s != http.StatusGatewayTimeout && s != http.StatusConflict || ran(res) != "may have run" {
+		t.Errorf("got %d %s %s", res.StatusCode, ran(res), text)
+	}
+	if status := <-done; status != http.StatusCreated {
+		t.Errorf("the first request got %d", status)
+	}
+}
+
 func TestResendsAtOnceRunOnce(t *testing.T) {
 	_, a, b := twoHosts(t)
 	a.service.SetFaults(enginefake.ServiceFaults{Delay: 50 * time.Millisecond})
