--- a/internal/fleet/relay/links.go
+++ b/internal/fleet/relay/links.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"maps"
 	"net/netip"
+	"strings"
 	"time"
 
 	"shallotramp/internal/fleet/exchange"
@@ -23,6 +25,8 @@
 	silence = 4 * time.Second
 	// linkInterval is how often missing and needless links are looked for.
 	linkInterval = 300 * time.Millisecond
+	// forgetDial is how long an address that is no longer dialled is remembered.
+	forgetDial = time.Hour
 	// contactHosts bounds the hosts of a zone that are named to another zone.
 	contactHosts = 5
 )
@@ -96,6 +100,7 @@
 	delete(c.byID, id)
 	delete(c.peers, p.host.Name)
 	c.order = nil
+	maps.DeleteFunc(c.states.requests, func(k string, _ time.Time) bool { return strings.HasPrefix(k, p.host.Name+"/") })
 	c.changes(c.table.Lose(now, p.host.Name, "the link ended"))
 	c.note(event.LinkDown, p.host.Name, cause)
 	return c.take()
@@ -154,6 +159,7 @@
 		}
 	}
 	c.prune(now, contacts)
+	maps.DeleteFunc(c.dials, func(_ netip.AddrPort, b *backoff) bool { return now.Sub(b.next) > forgetDial })
 }
 
 // contacts returns the host of each other zone with which this host, as the relay of its zone, keeps a link.
--- a/internal/fleet/relay/measure_sim_test.go
+++ b/internal/fleet/relay/measure_sim_test.go
@@ -89,6 +89,9 @@
 	for _, size := range sizes {
 		zones, hosts := size[0], size[1]
 		for _, seasoned := range []bool{false, true} {
+			if seasoned && zones > 1 {
+				continue
+			}
 			b.Run(fmt.Sprintf("zones=%d/hosts=%d/seasoned=%t", zones, hosts, seasoned), func(b *testing.B) {
 				for range b.N {
 					measureFleet(b, zones, hosts, seasoned)
--- a/internal/fleet/relay/node_test.go
+++ b/internal/fleet/relay/node_test.go
@@ -38,11 +38,14 @@
 	ca    *testcert.Authority
 	store *fake.Store
 	nodes map[string]*running
+	// work stands for the decisions of nodes started from now on; nil for none.
+	work *relay.Workload
 }
 
 type running struct {
 	*relay.Node
 	holder *release.Holder
+	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan error
 }
@@ -54,6 +57,9 @@
 	}
 	c := &cluster{t: t, ca: ca, store: fake.NewStore(), nodes: map[string]*running{}}
 	t.Cleanup(func() {
+		for _, r := range c.nodes {
+			r.cancel()
+		}
 		for name := range c.nodes {
 			c.stop(name)
 		}
@@ -76,12 +82,13 @@
 	}
 	self := member.Host{Name: name, Zone: zone, Address: netip.MustParseAddrPort(ln.Addr().String()), Incarnation: uint64(time.Now().UnixNano())}
 	r := &running{holder: &release.Holder{}, done: make(chan error, 1)}
-	r.Node = relay.NewNode(relay.Config{
-		Self: self, Seeds: seeds, Listener: ln, Source: m, Store: st, Holder: r.holder, Log: zerolog.Nop(),
-	})
-	var ctx context.Context
-	ctx, r.cancel = context.WithCancel(context.Background())
-	go r.Run(ctx, r.done)
+	cfg := relay.Config{Self: self, Seeds: seeds, Listener: ln, Source: m, Store: st, Holder: r.holder, Log: zerolog.Nop()}
+	if c.work != nil {
+		cfg.Decisions = decisions{c.work}
+	}
+	r.Node = relay.NewNode(cfg)
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	go r.Run(r.ctx, r.done)
 	c.nodes[name] = r
 	return r
 }
--- a/internal/fleet/relay/partition_test.go
+++ b/internal/fleet/relay/partition_test.go
@@ -142,10 +142,13 @@
 			s.run(10 * time.Second)
 			n := s.publish()
 			committed := s.now
-			if lag := s.lag(n, 30*time.Second, c.reached...); lag >= inForce {
-				t.Errorf("in force in %v after %v", c.reached, lag)
+			lag := s.lag(n, 30*time.Second, c.reached...)
+			t.Logf("in force in %v after %v", c.reached, lag)
+			if lag >= inForce {
+				t.Error("too late")
 			}
 			s.run(time.Minute)
+			t.Logf("confirmation in %v is %v old", c.reached, s.oldest(c.reached...))
 			if age := s.oldest(c.reached...); age > staleAfter {
 				t.Errorf("confirmation in %v is %v old", c.reached, age)
 			}
@@ -159,8 +162,10 @@
 			}
 			s.expires(n, committed)
 			s.heal()
-			if lag := s.lag(n, time.Minute); lag > maxDelay+readBackoff {
-				t.Errorf("in force everywhere %v after the cut", lag)
+			healed := s.lag(n, time.Minute)
+			t.Logf("in force everywhere %v after the cut", healed)
+			if healed > maxDelay+readBackoff {
+				t.Error("too late after the cut")
 			}
 			s.run(time.Minute)
 			if got := len(s.acting()); got != simZones {
@@ -244,6 +249,7 @@
 			s.run(30 * time.Second)
 			n := s.publish()
 			lag := s.lag(n, 20*time.Second)
+			t.Logf("in force after %v, confirmation %v old", lag, s.oldest(allZones()...))
 			if c.fresh && lag >= c.within {
 				t.Errorf("in force everywhere after %v", lag)
 			}
