relay: acknowledge by another zone's relay when the platform is out of reach

Cause: a zone cut off from the platform alone had a release in force within seconds, but could not say so; the release was accepted only after the grace. The relay gives a status that the platform did not take to a random relay of another zone, which writes it. An older status never replaces a newer one.

Conclusion: in TestPartitions a release is accepted within 20 s wherever each zone has it, and not where one has not.

--- a/internal/fleet/relay/beat.go
+++ b/internal/fleet/relay/beat.go
@@ -85,6 +85,8 @@
 		c.state(now, p, b.State)
 	case *wire.Envelope_StateRequest:
 		c.stateRequest(now, p, b.StateRequest)
+	case *wire.Envelope_ZoneStatus:
+		c.forward(p, b.ZoneStatus)
 	case *wire.Envelope_Loads:
 		c.loads(now, p, b.Loads)
 	}
--- a/internal/fleet/relay/carry.go
+++ b/internal/fleet/relay/carry.go
@@ -50,7 +50,7 @@
 		case Adopt:
 			n.calls.Go(func() { n.adopt(e) })
 		case WriteStatus:
-			n.calls.Go(func() { n.writeStatus(ctx, e.Status) })
+			n.calls.Go(func() { n.writeStatus(ctx, e) })
 		case AskState:
 			n.calls.Go(func() { n.askState(ctx) })
 		case Tell:
@@ -133,14 +133,13 @@
 }
 
 // writeStatus writes the status over the one that the platform has.
-func (n *Node) writeStatus(ctx context.Context, s acceptance.ZoneStatus) {
+func (n *Node) writeStatus(ctx context.Context, w WriteStatus) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := putStatus(ctx, n.cfg.Store, s)
-	n.post(func(now time.Time) []Effect {
-		n.core.Written(now, err)
-		return nil
-	})
+	err := putStatus(ctx, n.cfg.Store, w.Status)
+	if !w.Forwarded {
+		n.post(func(now time.Time) []Effect { return n.core.Written(now, err) })
+	}
 }
 
 func putStatus(ctx context.Context, st store.Store, s acceptance.ZoneStatus) error {
@@ -151,6 +150,9 @@
 	}
 	var old acceptance.ZoneStatus
 	if !missing && json.Unmarshal(o.Spec, &old) == nil {
+		if old.Release > s.Release {
+			return nil
+		}
 		s.Merge(&old)
 	}
 	spec, err := json.Marshal(s)
--- a/internal/fleet/relay/partition_test.go
+++ b/internal/fleet/relay/partition_test.go
@@ -147,7 +147,11 @@
 			if lag >= inForce {
 				t.Error("too late")
 			}
-			s.run(time.Minute)
+			s.run(20 * time.Second)
+			if got := s.verdict(committed).Accepted; got != (len(c.stale) == 0) {
+				t.Errorf("accepted: %t", got)
+			}
+			s.run(40 * time.Second)
 			t.Logf("confirmation in %v is %v old", c.reached, s.oldest(c.reached...))
 			if age := s.oldest(c.reached...); age > staleAfter {
 				t.Errorf("confirmation in %v is %v old", c.reached, age)
--- a/internal/fleet/relay/sim_test.go
+++ b/internal/fleet/relay/sim_test.go
@@ -298,7 +298,7 @@
 		case Tell:
 			h.told[e.State.Host] = e.State
 		case WriteStatus:
-			h.writeStatus(e.Status)
+			h.writeStatus(e)
 		case Confirm:
 			h.holder.Confirm(e.Number, e.At)
 		}
@@ -306,19 +306,27 @@
 }
 
 // writeStatus merges the status into the one that the platform has.
-func (h *simHost) writeStatus(z acceptance.ZoneStatus) {
-	s := h.s
+func (h *simHost) writeStatus(w WriteStatus) {
+	s, z := h.s, w.Status
 	s.writes += 2
+	written := func(err error) {
+		if !w.Forwarded {
+			h.apply(h.core.Written(s.now, err))
+		}
+	}
 	if s.blocked(h.self.Zone, "platform") || s.slow > simTimeout {
-		s.after(simTimeout, func() { h.core.Written(s.now, errors.New("the platform does not answer")) })
+		s.after(simTimeout, func() { written(errors.New("the platform does not answer")) })
 		return
 	}
 	s.after(s.slow, func() {
-		if old, ok := s.statuses[z.Zone]; ok {
+		old, ok := s.statuses[z.Zone]
+		if ok {
 			z.Merge(&old)
 		}
-		s.statuses[z.Zone] = z
-		h.core.Written(s.now, nil)
+		if !ok || old.Release <= z.Release {
+			s.statuses[z.Zone] = z
+		}
+		written(nil)
 	})
 }
 
--- a/internal/fleet/relay/status.go
+++ b/internal/fleet/relay/status.go
@@ -1,18 +1,24 @@
 package relay
 
 import (
+	"encoding/json"
 	"sort"
 	"time"
 
 	"shallotramp/internal/fleet/acceptance"
 	"shallotramp/internal/fleet/member"
+	"shallotramp/internal/fleet/wire"
 )
 
 // statusInterval is the shortest time between two writes of a changed status.
 const statusInterval = time.Second
 
 // WriteStatus writes the zone's status to the platform; [Core.Written] tells how it went.
-type WriteStatus struct{ Status acceptance.ZoneStatus }
+type WriteStatus struct {
+	Status acceptance.ZoneStatus
+	// Forwarded statuses are another zone's, whose relay cannot reach the platform; nobody waits for their end.
+	Forwarded bool
+}
 
 func (WriteStatus) effect() {}
 
@@ -41,12 +47,37 @@
 		return
 	}
 	c.reported = reported{status: s, at: now, writing: true}
-	c.emit(WriteStatus{s})
+	c.emit(WriteStatus{Status: s})
 }
 
-// Written notes the end of a write of the zone's status.
-func (c *Core) Written(_ time.Time, err error) {
+// Written notes the end of a write of the zone's status. A status that the platform did not take is given to the
+// relay of another zone, a different one each time.
+func (c *Core) Written(_ time.Time, err error) []Effect {
 	c.reported.writing, c.reported.failed = false, err != nil
+	if err == nil {
+		return nil
+	}
+	var relays []*peer
+	for _, p := range c.sortedPeers() {
+		if p.host.Zone != c.self.Zone && p.relay == p.host.Name {
+			relays = append(relays, p)
+		}
+	}
+	content, err := json.Marshal(c.reported.status)
+	if len(relays) == 0 || err != nil {
+		return nil
+	}
+	c.send(relays[c.rand.IntN(len(relays))], &wire.Envelope{Body: &wire.Envelope_ZoneStatus{ZoneStatus: &wire.ZoneStatus{Content: content}}})
+	return c.take()
+}
+
+// forward writes the status that the relay of another zone could not write.
+func (c *Core) forward(p *peer, m *wire.ZoneStatus) {
+	var s acceptance.ZoneStatus
+	if !c.acting || json.Unmarshal(m.GetContent(), &s) != nil || s.Zone != p.host.Zone || s.Zone == c.self.Zone {
+		return
+	}
+	c.emit(WriteStatus{Status: s, Forwarded: true})
 }
 
 func (c *Core) zoneStatus(now time.Time) acceptance.ZoneStatus {
