relay: pass load reports to other zones while these are few

Cause: today's deployments dispatch across three or four zones and need the loads of their servers. Relays pass at most 32 reports a round, not older than 5 s, while there are at most four other zones; beyond, a zone is known by its sum, for the bytes of a relay would grow with servers times zones.

--- a/internal/fleet/relay/sim_test.go
+++ b/internal/fleet/relay/sim_test.go
@@ -91,6 +91,8 @@
 	// state is what the host's decisions tell, and told what they were told, by source.
 	state func() dispatch.HostState
 	told  map[string]dispatch.HostState
+	// loads are the reports of servers that the decisions were told.
+	loads map[string]dispatch.Load
 	// peak is the highest release ever in force, to find one that goes back.
 	peak uint64
 }
@@ -120,7 +122,7 @@
 
 // start starts a host that knows all others from the platform's list, unless the platform is cut off.
 func (s *sim) start(self member.Host, seeds ...netip.AddrPort) *simHost {
-	h := &simHost{s: s, self: self, holder: &release.Holder{}, shelf: &release.Shelf{}, ends: map[LinkID]*simEnd{}, told: map[string]dispatch.HostState{}}
+	h := &simHost{s: s, self: self, holder: &release.Holder{}, shelf: &release.Shelf{}, ends: map[LinkID]*simEnd{}, told: map[string]dispatch.HostState{}, loads: map[string]dispatch.Load{}}
 	h.core = New(s.now, self, seeds, h.shelf, rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64())))
 	s.hosts[self.Name] = h
 	s.after(time.Duration(s.rand.Int64N(int64(TickInterval))), h.tick)
@@ -297,6 +299,8 @@
 			h.apply(h.core.State(h.s.now, h.state()))
 		case Tell:
 			h.told[e.State.Host] = e.State
+		case Report:
+			h.loads[e.Load.Server] = e.Load
 		case WriteStatus:
 			h.writeStatus(e)
 		case Confirm:
--- a/internal/fleet/relay/state.go
+++ b/internal/fleet/relay/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"shallotramp/internal/fleet/exchange"
 	"shallotramp/internal/fleet/wire"
@@ -28,6 +29,12 @@
 	sourceLifetime = 3 * time.Second
 	// requestInterval spaces the requests for a full state.
 	requestInterval = time.Second
+	// passZones is up to how many other zones get the load reports of this one, and passLimit bounds those passed on
+	// at once. With more zones they know its sum only.
+	passZones = 4
+	passLimit = 32
+	// passAge is the age at which a report is no longer passed on.
+	passAge = 5 * time.Second
 	// zonePrefix marks the sum of a zone, and otherZones is the sum of all other zones as a zone's relay tells it.
 	zonePrefix = "zone/"
 	otherZones = "other-zones"
@@ -61,6 +68,14 @@
 	// have loaded, as it was last sent and received.
 	reports     []*wire.Load
 	told, heard map[string][]string
+	// passed are reports that wait to be passed on to other zones, by server.
+	passed map[string]passed
+}
+
+// passed is a report and when it came.
+type passed struct {
+	load *wire.Load
+	at   time.Time
 }
 
 func newStates(name, zone string) states {
@@ -69,7 +84,7 @@
 		zone:    exchange.NewEncoder(zonePrefix+zone, zone, sumLimit),
 		rest:    exchange.NewEncoder(otherZones, "", sumLimit),
 		zoneSum: exchange.NewSum(), restSum: exchange.NewSum(), requests: map[string]time.Time{},
-		told: map[string][]string{}, heard: map[string][]string{},
+		told: map[string][]string{}, heard: map[string][]string{}, passed: map[string]passed{},
 	}
 }
 
@@ -148,6 +163,7 @@
 	c.states.restSum.Drop(before)
 	zone := c.states.zoneSum.State()
 	c.spread(false, c.states.zone.Next(now, &zone))
+	c.passLoads(now)
 	if c.states.restSum.Len() == 0 {
 		return
 	}
@@ -241,6 +257,40 @@
 			c.states.told[l.Server] = l.Loaded
 		}
 		c.states.reports = append(c.states.reports, m)
+		c.pass(now, m, l.Loaded)
+	}
+}
+
+// pass keeps a report of this zone for others, if this host relays and they are few.
+func (c *Core) pass(now time.Time, l *wire.Load, loaded []string) {
+	if _, far := c.count(); !c.acting || far == 0 || far > passZones {
+		return
+	}
+	if _, ok := c.states.passed[l.GetServer()]; !ok && len(c.states.passed) >= passLimit {
+		return
+	}
+	whole := proto.CloneOf(l)
+	whole.Loaded, whole.SameLoaded = loaded, false
+	c.states.passed[l.GetServer()] = passed{whole, now}
+}
+
+// passLoads sends other zones the reports kept for them.
+func (c *Core) passLoads(now time.Time) {
+	m := &wire.Loads{}
+	for _, p := range c.states.passed {
+		p.load.Age += uint64(now.Sub(p.at) / time.Millisecond)
+		if p.load.GetAge() < uint64(passAge/time.Millisecond) {
+			m.Reports = append(m.Reports, p.load)
+		}
+	}
+	clear(c.states.passed)
+	if len(m.GetReports()) == 0 {
+		return
+	}
+	for _, p := range c.sortedPeers() {
+		if p.host.Zone != c.self.Zone {
+			c.send(p, &wire.Envelope{Body: &wire.Envelope_Loads{Loads: m}})
+		}
 	}
 }
 
@@ -258,17 +308,24 @@
 }
 
 func (c *Core) loads(now time.Time, p *peer, m *wire.Loads) {
-	if p.host.Zone != c.self.Zone {
+	near := p.host.Zone == c.self.Zone
+	if !near && !c.acting {
 		return
 	}
 	for _, l := range m.GetReports() {
 		if !l.GetSameLoaded() {
 			c.states.heard[l.GetServer()] = l.GetLoaded()
 		}
+		loaded := c.states.heard[l.GetServer()]
+		if near {
+			c.pass(now, l, loaded)
+		} else if l.GetAge() < uint64(passAge/time.Millisecond) {
+			c.states.reports = append(c.states.reports, l)
+		}
 		age := time.Duration(min(l.GetAge(), uint64(time.Hour/time.Millisecond))) * time.Millisecond
 		c.emit(Report{dispatch.Load{
 			Server: l.GetServer(), At: now.Add(-age), Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()),
-			QueuedTokens: int(l.GetQueuedTokens()), Loaded: c.states.heard[l.GetServer()], CacheSequence: l.GetCacheSequence(), Leaving: l.GetLeaving(),
+			QueuedTokens: int(l.GetQueuedTokens()), Loaded: loaded, CacheSequence: l.GetCacheSequence(), Leaving: l.GetLeaving(),
 		}})
 	}
 }
--- a/internal/fleet/relay/state_test.go
+++ b/internal/fleet/relay/state_test.go
@@ -55,3 +55,31 @@
 		convey.So(h.told[otherZones].Outstanding, convey.ShouldResemble, map[string]int{"engine-z00": 6})
 	})
 }
+
+func TestLoadsReachZoneAndFewOtherZones(t *testing.T) {
+	convey.Convey("A report reaches the hosts of its zone, and of other zones while these are few", t, func() {
+		for zones, want := range map[int]bool{3: true, 6: false} {
+			s := newSim(t, zones, 3)
+			for _, h := range s.hosts {
+				h.state = func() dispatch.HostState { return dispatch.HostState{} }
+			}
+			s.publish()
+			s.run(15 * time.Second)
+			for range 3 {
+				s.hosts["z01-h02"].core.Loads(s.now, []dispatch.Load{{Server: "engine-1", At: s.now, Running: 4, Loaded: []string{"m"}}})
+				s.run(2 * time.Second)
+			}
+			near := s.hosts["z01-h01"].loads["engine-1"]
+			convey.So(near.Running, convey.ShouldEqual, 4)
+			convey.So(near.Loaded, convey.ShouldResemble, []string{"m"})
+			for _, name := range []string{"z00-h00", "z02-h01"} {
+				far, ok := s.hosts[name].loads["engine-1"]
+				convey.So(ok, convey.ShouldEqual, want)
+				if ok {
+					convey.So(far.Loaded, convey.ShouldResemble, []string{"m"})
+					convey.So(s.now.Sub(far.At), convey.ShouldBeLessThan, 3*time.Second)
+				}
+			}
+		}
+	})
+}
