--- a/internal/fleet/relay/carry.go
+++ b/internal/fleet/relay/carry.go
@@ -192,8 +192,12 @@
 	return release.NewSnapshot(a.Entry.Number, a.Entry.Digest, set), nil
 }
 
-// Unpack returns the chunks of a release, from what came and from the shelf.
+// Unpack returns the chunks of a release, from what came and from the shelf. It verifies that the list of chunks
+// is that of the release; [release.Join] verifies each chunk.
 func Unpack(a Adopt, shelf *release.Shelf) (map[string][]byte, error) {
+	if release.DigestOf(a.Entry.Chunks) != a.Entry.Digest {
+		return nil, &release.CorruptError{Digest: a.Entry.Digest}
+	}
 	_, have := shelf.Newest()
 	out := make(map[string][]byte, len(a.Entry.Chunks))
 	for _, r := range a.Entry.Chunks {
--- a/internal/fleet/relay/measure_adopt_test.go
+++ b/internal/fleet/relay/measure_adopt_test.go
@@ -40,7 +40,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			a := relay.Adopt{Entry: release.Entry{Number: 1, Chunks: refs}, Content: map[string][]byte{}}
+			a := relay.Adopt{Entry: release.Entry{Number: 1, Digest: release.DigestOf(refs), Chunks: refs}, Content: map[string][]byte{}}
 			all := 0
 			for d, c := range content {
 				a.Content[d] = relay.Compress(c)
--- a/internal/fleet/relay/sim_test.go
+++ b/internal/fleet/relay/sim_test.go
@@ -196,7 +196,8 @@
 	b := fmt.Appendf(nil, `[{"Release":%d}]`, s.head.Number+1)
 	sum := sha256.Sum256(b)
 	d := hex.EncodeToString(sum[:])
-	s.head = release.Entry{Number: s.head.Number + 1, Digest: d, Chunks: []release.Ref{{Digest: d, Bytes: len(b)}}}
+	refs := []release.Ref{{Digest: d, Bytes: len(b)}}
+	s.head = release.Entry{Number: s.head.Number + 1, Digest: release.DigestOf(refs), Chunks: refs}
 	s.content = map[string][]byte{d: b}
 	for _, n := range s.names() {
 		if h := s.hosts[n]; h.follow != 0 {
