--- a/internal/fleet/relay/sim_test.go
+++ b/internal/fleet/relay/sim_test.go
@@ -91,6 +91,8 @@
 	// state is what the host's decisions tell, and told what they were told, by source.
 	state func() dispatch.HostState
 	told  map[string]dispatch.HostState
+	// loads are the reports of servers that the decisions were told.
+	loads map[string]dispatch.Load
 	// peak is the highest release ever in force, to find one that goes back.
 	peak uint64
 }
@@ -120,7 +122,7 @@
 
 // start starts a host that knows all others from the platform's list, unless the platform is cut off.
 func (s *sim) start(self member.Host, seeds ...netip.AddrPort) *simHost {
-	h := &simHost{s: s, self: self, holder: &release.Holder{}, shelf: &release.Shelf{}, ends: map[LinkID]*simEnd{}, told: map[string]dispatch.HostState{}}
+	h := &simHost{s: s, self: self, holder: &release.Holder{}, shelf: &release.Shelf{}, ends: map[LinkID]*simEnd{}, told: map[string]dispatch.HostState{}, loads: map[string]dispatch.Load{}}
 	h.core = New(s.now, self, seeds, h.shelf, rand.New(rand.NewPCG(s.rand.Uint64(), s.rand.Uint64())))
 	s.hosts[self.Name] = h
 	s.after(time.Duration(s.rand.Int64N(int64(TickInterval))), h.tick)
@@ -194,7 +196,8 @@
 	b := fmt.Appendf(nil, `[{"Release":%d}]`, s.head.Number+1)
 	sum := sha256.Sum256(b)
 	d := hex.EncodeToString(sum[:])
-	s.head = release.Entry{Number: s.head.Number + 1, Digest: d, Chunks: []release.Ref{{Digest: d, Bytes: len(b)}}}
+	refs := []release.Ref{{Digest: d, Bytes: len(b)}}
+	s.head = release.Entry{Number: s.head.Number + 1, Digest: release.DigestOf(refs), Chunks: refs}
 	s.content = map[string][]byte{d: b}
 	for _, n := range s.names() {
 		if h := s.hosts[n]; h.follow != 0 {
@@ -297,8 +300,10 @@
 			h.apply(h.core.State(h.s.now, h.state()))
 		case Tell:
 			h.told[e.State.Host] = e.State
+		case Report:
+			h.loads[e.Load.Server] = e.Load
 		case WriteStatus:
-			h.writeStatus(e.Status)
+			h.writeStatus(e)
 		case Confirm:
 			h.holder.Confirm(e.Number, e.At)
 		}
@@ -306,19 +311,27 @@
 }
 
 // writeStatus merges the status into the one that the platform has.
-func (h *simHost) writeStatus(z acceptance.ZoneStatus) {
-	s := h.s
+func (h *simHost) writeStatus(w WriteStatus) {
+	s, z := h.s, w.Status
 	s.writes += 2
+	written := func(err error) {
+		if !w.Forwarded {
+			h.apply(h.core.Written(s.now, err))
+		}
+	}
 	if s.blocked(h.self.Zone, "platform") || s.slow > simTimeout {
-		s.after(simTimeout, func() { h.core.Written(s.now, errors.New("the platform does not answer")) })
+		s.after(simTimeout, func() { written(errors.New("the platform does not answer")) })
 		return
 	}
 	s.after(s.slow, func() {
-		if old, ok := s.statuses[z.Zone]; ok {
+		old, ok := s.statuses[z.Zone]
+		if ok {
 			z.Merge(&old)
 		}
-		s.statuses[z.Zone] = z
-		h.core.Written(s.now, nil)
+		if !ok || old.Release <= z.Release {
+			s.statuses[z.Zone] = z
+		}
+		written(nil)
 	})
 }
 
