--- /dev/null
+++ b/internal/capacity/controller/limit_test.go
@@ -0,0 +1,117 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/capacity/controller"
+	"shallotramp/internal/capacity/order"
+	"shallotramp/internal/platform/fake"
+	"shallotramp/internal/platform/ordering"
+	"shallotramp/internal/platform/store"
+)
+
+func openIntents(t *testing.T, list []store.Object) int {
+	t.Helper()
+	n := 0
+	for _, o := range list {
+		var in order.Intent
+		if err := json.Unmarshal(o.Spec, &in); err != nil {
+			t.Fatal(err)
+		}
+		if in.Open {
+			n++
+		}
+	}
+	return n
+}
+
+// always is a lease that is held for good under one fencing number.
+type always uint64
+
+func (a always) Held(time.Time) (uint64, bool) { return uint64(a), true }
+func (a always) Valid(time.Time) bool          { return true }
+
+func TestLoadLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &wire{src: rand.New(rand.NewPCG(1, 1)), to: map[string]*fake.Receiver{}}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		c := controller.New("host-1", fake.NewStore(), always(1), w, func(string) bool { return true },
+			controller.WithLoadLimit(20*time.Second, 2))
+		go c.Run(ctx, done)
+		begun := time.Now()
+		time.Sleep(time.Second)
+		for i := range 10 {
+			name := fmt.Sprintf("runner-%d", i)
+			w.to[name] = fake.NewReceiver(true)
+			if err := c.Order(ctx, order.Order{Action: order.LoadModel, Receiver: name, Model: "briefing"}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(100 * time.Second)
+		loads := 0
+		for _, r := range w.to {
+			loads += len(r.All())
+		}
+		stop()
+		<-done
+		convey.Convey("a new holder takes the weight store's limit for used up", t, func() {
+			convey.So(loads, convey.ShouldEqual, int(time.Since(begun)/(20*time.Second)))
+		})
+	})
+}
+
+func TestOrdersOverHTTP(t *testing.T) {
+	r := fake.NewReceiver(true)
+	srv := httptest.NewServer(r.Handler())
+	defer srv.Close()
+	c := ordering.NewClient(func(string) (string, bool) { return srv.URL, true })
+	in := order.Intent{Name: "zone-mid-a-7-1", Fence: 7, Holder: "host-1", Order: order.Order{Action: order.StartServers, Receiver: order.Zone("mid-a"), Count: 2}}
+	send := func(in order.Intent) order.Result { res, _ := c.Send(t.Context(), in); return res }
+	convey.Convey("The client and the stand-in agree", t, func() {
+		applied, err := c.Applied(t.Context(), in)
+		convey.So(applied || err != nil, convey.ShouldBeFalse)
+		convey.So(send(in), convey.ShouldEqual, order.Done)
+		convey.So(send(in), convey.ShouldEqual, order.Done)
+		applied, err = c.Applied(t.Context(), in)
+		convey.So(applied && err == nil, convey.ShouldBeTrue)
+		old := in
+		old.Name, old.Fence = "zone-mid-a-6-1", 6
+		convey.So(send(old), convey.ShouldEqual, order.Stale)
+		r.SetFaults(fake.OrderFaults{Down: true})
+		convey.So(send(in), convey.ShouldEqual, order.Unknown)
+		all := r.All()
+		convey.So(all, convey.ShouldHaveLength, 3)
+		convey.So(all[0].Intent.Order.Count, convey.ShouldEqual, 2)
+		convey.So([]bool{all[0].Acted, all[1].Acted, all[2].Acted}, convey.ShouldResemble, []bool{true, false, false})
+	})
+}
+
+func ExampleController() {
+	receiver := fake.NewReceiver(true)
+	w := &wire{src: rand.New(rand.NewPCG(1, 1)), to: map[string]*fake.Receiver{"runner-1": receiver}}
+	c := controller.New("host-1", fake.NewStore(), always(4), w, func(string) bool { return true })
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go c.Run(ctx, done)
+	o := order.Order{Action: order.LoadModel, Receiver: "runner-1", Model: "briefing"}
+	for c.Order(ctx, o) != nil {
+		time.Sleep(10 * time.Millisecond) // until the controller has seen its lease
+	}
+	for len(receiver.All()) == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	stop()
+	<-done
+	fmt.Println(receiver.All()[0].Intent.Name)
+	// Output: runner-1-4-1
+}
--- /dev/null
+++ b/internal/platform/fake/ordering.go
@@ -0,0 +1,142 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/capacity/order"
+	"shallotramp/internal/platform/ordering"
+)
+
+// OrderFaults are the failures that a [Receiver] shows. The zero value shows none.
+type OrderFaults struct {
+	Down bool
+	// Delay holds each order before it takes effect.
+	Delay time.Duration
+	// LoseAnswers carries the next orders out and then fails.
+	LoseAnswers int
+}
+
+// Arrived is one order as it came.
+type Arrived struct {
+	Intent order.Intent
+	At     time.Time
+	// Acted tells that the receiver carried it out now, for the first time.
+	Acted bool
+}
+
+// Receiver takes orders: a stand-in of the ordering interface and of backend servers.
+// It carries each name out once, and records all that comes.
+type Receiver struct {
+	checks bool
+
+	mu     sync.Mutex
+	faults OrderFaults
+	fence  uint64
+	acted  map[string]bool
+	all    []Arrived
+}
+
+// NewReceiver returns a receiver that refuses lower fencing numbers than it has seen, or ignores them.
+func NewReceiver(checksFence bool) *Receiver {
+	return &Receiver{checks: checksFence, acted: map[string]bool{}}
+}
+
+// SetFaults replaces the faults shown from now on.
+func (r *Receiver) SetFaults(f OrderFaults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// All returns every order that came, in order.
+func (r *Receiver) All() []Arrived {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrived(nil), r.all...)
+}
+
+// Send takes an order as [ordering.Client.Send] does, for tests without HTTP.
+func (r *Receiver) Send(ctx context.Context, in order.Intent) (order.Result, string) {
+	r.mu.Lock()
+	d := r.faults.Delay
+	r.mu.Unlock()
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+		return order.Unknown, ctx.Err().Error()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.faults.Down {
+		return order.Unknown, "the receiver is down"
+	}
+	a := Arrived{Intent: in, At: time.Now()}
+	if r.checks && in.Fence < r.fence {
+		r.all = append(r.all, a)
+		return order.Stale, "a higher fencing number was seen"
+	}
+	r.fence = max(r.fence, in.Fence)
+	a.Acted = !r.acted[in.Name]
+	r.acted[in.Name] = true
+	r.all = append(r.all, a)
+	if r.faults.LoseAnswers > 0 {
+		r.faults.LoseAnswers--
+		return order.Unknown, "the answer was lost"
+	}
+	return order.Done, ""
+}
+
+// Applied tells whether an intent was carried out.
+func (r *Receiver) Applied(_ context.Context, in order.Intent) (bool, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.faults.Down {
+		return false, errors.New("the receiver is down")
+	}
+	return r.acted[in.Name], nil
+}
+
+var orderStatus = map[order.Result]int{
+	order.Done:    http.StatusCreated,
+	order.Stale:   http.StatusPreconditionFailed,
+	order.Unknown: http.StatusServiceUnavailable,
+}
+
+// Handler serves r over HTTP.
+func (r *Receiver) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+ordering.PathPrefix+"{name}", r.servePut)
+	mux.HandleFunc("GET "+ordering.PathPrefix+"{name}", r.serveGet)
+	mux.HandleFunc("GET /orders", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, r.All()) })
+	return mux
+}
+
+func (r *Receiver) servePut(w http.ResponseWriter, q *http.Request) {
+	in := order.Intent{Name: q.PathValue("name"), Holder: q.Header.Get(ordering.HolderHeader)}
+	in.Fence, _ = strconv.ParseUint(q.Header.Get(ordering.FenceHeader), 10, 64)
+	if err := json.NewDecoder(q.Body).Decode(&in.Order); err != nil {
+		http.Error(w, "the body is no order", http.StatusBadRequest)
+		return
+	}
+	result, detail := r.Send(q.Context(), in)
+	http.Error(w, detail, orderStatus[result])
+}
+
+func (r *Receiver) serveGet(w http.ResponseWriter, q *http.Request) {
+	applied, err := r.Applied(q.Context(), order.Intent{Name: q.PathValue("name")})
+	switch {
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case !applied:
+		http.Error(w, "no such order", http.StatusNotFound)
+	default:
+		reply(w, http.StatusOK, nil)
+	}
+}
--- a/internal/usage/reporter/world_test.go
+++ b/internal/usage/reporter/world_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"shallotramp/internal/platform/fake"
-	"shallotramp/internal/platform/store"
 	"shallotramp/internal/usage/ledger"
 	"shallotramp/internal/usage/meter"
 	"shallotramp/internal/usage/reporter"
@@ -46,110 +45,8 @@
 
 func (s *source) upTo(d time.Duration) time.Duration { return time.Duration(s.n(int(d))) }
 
-// line is one process's connection to the platform. Any call may be held before or after it takes
-// effect, as when the process is paused there, be lost or late, or be the process's last.
-type line struct {
-	store.Store
-	src *source
-	mu  sync.Mutex
-	// cut refuses calls, dead ends the process, trouble is the chance of a fault in a call.
-	cut, dead bool
-	trouble   float64
-	kill      func()
-}
-
 var errLine = errors.New("no connection")
 
-func lost(kind, name string) error {
-	return &store.Error{Reason: store.Unavailable, Kind: kind, Name: name, Cause: errLine}
-}
-
-func (l *line) set(f func(l *line)) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	f(l)
-}
-
-// call does f among faults.
-func (l *line) call(kind, name string, write bool, f func() error) error {
-	l.mu.Lock()
-	cut, dead, trouble := l.cut, l.dead, l.trouble
-	l.mu.Unlock()
-	if cut || dead {
-		return lost(kind, name)
-	}
-	if !l.src.chance(trouble) {
-		return f()
-	}
-	switch l.src.n(6) {
-	case 0:
-		time.Sleep(l.src.upTo(time.Minute))
-		return f()
-	case 1:
-		err := f()
-		time.Sleep(l.src.upTo(time.Minute))
-		return err
-	case 2:
-		_ = f()
-		return lost(kind, name)
-	case 3:
-		if write {
-			late := l.src.upTo(time.Minute)
-			go func() {
-				time.Sleep(late)
-				_ = f()
-			}()
-		}
-		return lost(kind, name)
-	case 4:
-		if l.src.chance(0.5) {
-			_ = f()
-		}
-		l.kill()
-	}
-	return lost(kind, name)
-}
-
-func (l *line) Get(ctx context.Context, kind, name string) (o store.Object, err error) {
-	err = l.call(kind, name, false, func() error { o, err = l.Store.Get(ctx, kind, name); return err })
-	return o, err
-}
-
-func (l *line) List(ctx context.Context, kind string) (list []store.Object, v string, err error) {
-	err = l.call(kind, "", false, func() error { list, v, err = l.Store.List(ctx, kind); return err })
-	return list, v, err
-}
-
-func (l *line) Create(_ context.Context, o store.Object) (store.Object, error) {
-	var mu sync.Mutex
-	var out store.Object
-	err := l.call(o.Kind, o.Name, true, func() error {
-		got, err := l.Store.Create(context.Background(), o)
-		mu.Lock()
-		defer mu.Unlock()
-		out = got
-		return err
-	})
-	mu.Lock()
-	defer mu.Unlock()
-	return out, err
-}
-
-func (l *line) Update(_ context.Context, o store.Object) (store.Object, error) {
-	var mu sync.Mutex
-	var out store.Object
-	err := l.call(o.Kind, o.Name, true, func() error {
-		got, err := l.Store.Update(context.Background(), o)
-		mu.Lock()
-		defer mu.Unlock()
-		out = got
-		return err
-	})
-	mu.Lock()
-	defer mu.Unlock()
-	return out, err
-}
-
 // engines are backend servers with their own counts, the truth of each test.
 type engines struct {
 	mu     sync.Mutex
@@ -278,7 +175,7 @@
 	lease   *term
 	wg      sync.WaitGroup
 	mu      sync.Mutex
-	lines   []*line
+	lines   []*fake.Line
 	calm    bool
 	kills   int
 	reports int
@@ -300,12 +197,12 @@
 	return w.calm
 }
 
-func (w *world) line(kill func()) *line {
-	l := &line{Store: w.store, src: w.src, kill: kill}
+func (w *world) line(kill func()) *fake.Line {
+	l := fake.NewLine(w.store, rand.New(rand.NewPCG(uint64(w.src.n(1<<30)), 2)), kill)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.calm {
-		l.trouble = 0.15
+		l.SetTrouble(0.15)
 	}
 	w.lines = append(w.lines, l)
 	return l
@@ -328,7 +225,11 @@
 	done := make(chan error, 1)
 	go book.Run(life, done)
 	if !w.isCalm() {
-		context.AfterFunc(life, func() { l.set(func(l *line) { l.dead = ctx.Err() == nil }) })
+		context.AfterFunc(life, func() {
+			if ctx.Err() == nil {
+				l.End()
+			}
+		})
 		time.AfterFunc(time.Minute+w.src.upTo(20*time.Minute), func() {
 			if !w.isCalm() {
 				kill()
@@ -348,7 +249,6 @@
 		w.mu.Unlock()
 		return
 	}
-	l.set(func(l *line) { l.dead, l.cut, l.trouble = false, false, 0 })
 	_ = book.Close(context.WithoutCancel(ctx))
 }
 
@@ -430,7 +330,8 @@
 			w.mu.Lock()
 			l := w.lines[w.src.n(len(w.lines))]
 			w.mu.Unlock()
-			l.set(func(l *line) { l.cut = !l.cut })
+			l.SetCut(true)
+			time.AfterFunc(w.src.upTo(5*time.Minute), func() { l.SetCut(false) })
 		case 4:
 			w.engines.setCut(w.engines.names()[w.src.n(3)], true)
 		}
@@ -454,7 +355,8 @@
 	w.calm = true
 	w.heal()
 	for _, l := range w.lines {
-		l.set(func(l *line) { l.cut, l.trouble = false, 0 })
+		l.SetCut(false)
+		l.SetTrouble(0)
 	}
 }
 
