controller: look for open intents again, and not without a delay

With the platform cut off, the list of intents was asked for again at once, which kept a core busy and virtual time standing: it is now asked for after the retry delay, with a test of its own.

--- a/internal/capacity/controller/controller.go
+++ b/internal/capacity/controller/controller.go
@@ -20,6 +20,8 @@
 	stepInterval = 250 * time.Millisecond
 	// callTimeout bounds one call to the platform.
 	callTimeout = 5 * time.Second
+	// listInterval is how often open intents are looked for: a predecessor's write may land late.
+	listInterval = time.Minute
 	// loadDelay is the time before a load that the weight store's limit held back is tried again.
 	loadDelay = time.Second
 	// inboxLength bounds the results that wait for the controller.
@@ -69,8 +71,9 @@
 	// term counts the changes of fence and held; results of calls from an earlier term are dropped.
 	term    int
 	listing bool
-	listed  bool
-	calls   int
+	// listAt is when open intents are looked for next.
+	listAt time.Time
+	calls  int
 }
 
 // desk is the work for one receiver.
@@ -164,7 +167,7 @@
 	now := time.Now()
 	fence, ok := c.lease.Held(now)
 	if ok != c.held || fence != c.fence {
-		c.held, c.fence, c.listed = ok, fence, false
+		c.held, c.fence, c.listAt = ok, fence, now
 		c.term++
 		// A predecessor may have used up the weight store's limit.
 		c.loads.AllowN(now, int(c.loads.TokensAt(now)))
@@ -175,7 +178,7 @@
 	if !ok {
 		return
 	}
-	if !c.listed && !c.listing {
+	if !c.listing && !now.Before(c.listAt) {
 		c.list(ctx)
 	}
 	for name, d := range c.desks {
@@ -228,14 +231,18 @@
 		list, _, err = c.store.List(ctx, order.Kind)
 	}, func(now time.Time) {
 		c.listing = false
-		if err != nil || !c.held || term != c.term {
+		if !c.held || term != c.term {
 			return
 		}
-		c.listed = true
+		if err != nil {
+			c.listAt = now.Add(c.times.Retry)
+			return
+		}
+		c.listAt = now.Add(listInterval)
 		for _, o := range list {
 			var in order.Intent
 			if json.Unmarshal(o.Spec, &in) == nil && in.Open {
-				c.desk(now, o.Name)
+				c.desk(now, o.Name).core.Found(o.Version)
 			}
 		}
 	})
--- a/internal/capacity/controller/limit_test.go
+++ b/internal/capacity/controller/limit_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,6 +71,36 @@
 	})
 }
 
+// counted counts lists.
+type counted struct {
+	store.Store
+	lists atomic.Int64
+}
+
+func (s *counted) List(ctx context.Context, kind string) ([]store.Object, string, error) {
+	s.lists.Add(1)
+	return s.Store.List(ctx, kind)
+}
+
+// TestPlatformDown guards against a controller that asks again without a delay, which once kept a core busy.
+func TestPlatformDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := fake.NewStore()
+		st.SetFaults(fake.Faults{Down: true})
+		s := &counted{Store: st}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		c := controller.New("host-1", s, always(1), &wire{}, func(string) bool { return true })
+		go c.Run(ctx, done)
+		time.Sleep(time.Minute)
+		stop()
+		<-done
+		if n := s.lists.Load(); n < 10 || n > 60 {
+			t.Fatalf("%d lists in a minute", n)
+		}
+	})
+}
+
 func TestOrdersOverHTTP(t *testing.T) {
 	r := fake.NewReceiver(true)
 	srv := httptest.NewServer(r.Handler())
--- a/internal/capacity/order/order.go
+++ b/internal/capacity/order/order.go
@@ -343,6 +343,14 @@
 	}
 }
 
+// Found notes that the platform holds an open intent at a version. An idle core reads it if that is not
+// its own: a predecessor's write may land late.
+func (c *Core) Found(version string) {
+	if c.State() == Idle && version != c.version {
+		c.fire(Doubt)
+	}
+}
+
 // ReadFailed notes that the intent could not be read.
 func (c *Core) ReadFailed(now time.Time) { c.retry = now.Add(c.times.Retry) }
 
