--- a/internal/capacity/order/order.go
+++ b/internal/capacity/order/order.go
@@ -326,7 +326,7 @@
 		return
 	}
 	c.intent, c.version = in, version
-	if c.unwritten != nil && in.Name == c.unwritten.Name {
+	if found && c.unwritten != nil && in.Name == c.unwritten.Name {
 		c.unwritten = nil
 	}
 	switch {
--- /dev/null
+++ b/internal/capacity/order/order_test.go
@@ -0,0 +1,117 @@
+package order_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/capacity/order"
+)
+
+var begin = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func started(checks bool) *order.Core {
+	c := order.NewCore("host-1", "runner-1", checks, order.DefaultTimes())
+	c.Begin(begin, 7)
+	return c
+}
+
+func load(model string) order.Order {
+	return order.Order{Action: order.LoadModel, Receiver: "runner-1", Model: model}
+}
+
+func TestWriteWithoutAnswer(t *testing.T) {
+	for name, landed := range map[string]bool{
+		"that took effect is resumed, and not ordered twice": true,
+		"that had no effect is repeated under the same name": false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := started(true)
+			c.Seen(begin, order.Intent{}, "", false)
+			if err := c.Add(load("a")); err != nil {
+				t.Fatal(err)
+			}
+			first := c.Next(begin)
+			c.Wrote(begin, order.Unknown, "")
+			now := begin.Add(time.Minute)
+			if got := c.Next(now); got.Step != order.ReadIntent {
+				t.Fatal(got)
+			}
+			c.Seen(now, first.Intent, "1", landed)
+			again := c.Next(now)
+			want := order.AskReceiver
+			if !landed {
+				want = order.WriteIntent
+			}
+			if again.Step != want || again.Intent.Name != first.Intent.Name || c.Waiting() != 0 {
+				t.Fatalf("%+v after %+v", again, first)
+			}
+			if landed {
+				c.Asked(now, true, true)
+				c.Wrote(now, order.Done, "2")
+				if e := c.Next(now); e.Step != order.Nothing {
+					t.Fatalf("the order is planned once more: %+v", e)
+				}
+			}
+		})
+	}
+}
+
+func TestPredecessorsOpenIntent(t *testing.T) {
+	open := order.Intent{Name: "runner-1-6-3", Number: 3, Order: load("b"), Holder: "host-0", Fence: 6, Open: true}
+	convey.Convey("An intent that a predecessor left open", t, func() {
+		c := started(false)
+		c.Seen(begin, open, "9", true)
+		convey.So(c.Add(load("c")), convey.ShouldBeNil)
+		e := c.Next(begin)
+		convey.So(e.Step, convey.ShouldEqual, order.WriteIntent)
+		convey.So(e.Intent.Fence, convey.ShouldEqual, 7)
+		c.Wrote(begin, order.Done, "10")
+		convey.Convey("waits for a receiver that ignores fencing numbers", func() {
+			convey.So(c.Next(begin), convey.ShouldResemble, order.Effect{Wait: order.DefaultTimes().WaitOut})
+		})
+		after := begin.Add(order.DefaultTimes().WaitOut)
+		convey.So(c.Next(after).Step, convey.ShouldEqual, order.AskReceiver)
+		convey.Convey("is sent under its name if it is missing", func() {
+			c.Asked(after, false, true)
+			e = c.Next(after)
+			convey.So(e.Step, convey.ShouldEqual, order.SendOrder)
+			convey.So(e.Intent.Name, convey.ShouldEqual, open.Name)
+		})
+		convey.Convey("is closed unsent if it took effect, before anything new", func() {
+			c.Asked(after, true, true)
+			e = c.Next(after)
+			convey.So(e.Step, convey.ShouldEqual, order.WriteIntent)
+			convey.So(e.Intent.Open, convey.ShouldBeFalse)
+		})
+		convey.Convey("is asked about again if the receiver did not tell", func() {
+			c.Asked(after, false, false)
+			convey.So(c.Next(after).Step, convey.ShouldEqual, order.Nothing)
+			convey.So(c.Next(after.Add(time.Minute)).Step, convey.ShouldEqual, order.AskReceiver)
+		})
+	})
+}
+
+func TestLosingCharge(t *testing.T) {
+	for name, f := range map[string]func(c *order.Core){
+		"the lease ends": func(c *order.Core) { c.End() },
+		"the platform holds a higher fencing number": func(c *order.Core) { c.Seen(begin, order.Intent{Fence: 8}, "1", true) },
+		"the receiver has seen a higher fencing number": func(c *order.Core) {
+			c.Seen(begin, order.Intent{}, "", false)
+			_ = c.Add(load("a"))
+			c.Next(begin)
+			c.Wrote(begin, order.Done, "1")
+			c.Next(begin)
+			c.Sent(begin, order.Stale, "")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := started(true)
+			f(c)
+			if c.State() != order.Stopped || c.Next(begin).Step != order.Nothing || c.Add(load("b")) == nil {
+				t.Fatalf("the core goes on in state %s", c.State())
+			}
+		})
+	}
+}
