--- a/internal/usage/ledger/ledger_test.go
+++ b/internal/usage/ledger/ledger_test.go
@@ -197,6 +197,30 @@
 	}
 }
 
+// controlBudget is what a node may spend on control in all, in bytes a second.
+const controlBudget = 26 << 10
+
+// TestFlushBytes measures a ledger at the end of an hour at the two-year size: 5 requests a second on each of
+// 360 hosts, 220 output tokens and 600 prompt tokens each, and 200 open requests.
+func TestFlushBytes(t *testing.T) {
+	for _, organisations := range []int{350, 700, 1400} {
+		s := &ledger.Spec{Incarnation: "0123456789abcdef", Host: "host-123", Zone: "mid-a", Next: 18000}
+		for n := range uint64(200) {
+			s.Open = append(s.Open, 18000-n)
+		}
+		for n := range 18000 {
+			s.Add(window.Of(time.Now(), time.Hour), fmt.Sprintf("organisation-%04d", n%organisations),
+				meter.Use{Requests: 1, PromptTokens: 600, OutputTokens: 220})
+		}
+		b, err := json.Marshal(s)
+		rate := float64(len(b)) / ledger.Interval(360).Seconds()
+		t.Logf("%d organisations: %d bytes, %.0f bytes/s at 360 hosts", organisations, len(b), rate)
+		if err != nil || rate > controlBudget/2 {
+			t.Errorf("%.0f bytes a second, %v", rate, err)
+		}
+	}
+}
+
 func TestLedgerFitsOneObject(t *testing.T) {
 	s := &ledger.Spec{Incarnation: "0123456789abcdef", Next: 1 << 40}
 	for n := range uint64(1000) {
--- a/internal/usage/ledger/spec.go
+++ b/internal/usage/ledger/spec.go
@@ -25,6 +25,37 @@
 	Use      window.Use
 }
 
+// pageData is a page on the platform. Use is three numbers an organisation, for a host writes all of them at each flush.
+type pageData struct {
+	Number   uint64
+	Origin   window.ID
+	SealedIn window.ID `json:",omitempty"`
+	// Use holds requests, prompt tokens and output tokens.
+	Use map[string][3]int64
+}
+
+// MarshalJSON writes the page in its short form.
+func (p Page) MarshalJSON() ([]byte, error) {
+	d := pageData{Number: p.Number, Origin: p.Origin, SealedIn: p.SealedIn, Use: make(map[string][3]int64, len(p.Use))}
+	for o, u := range p.Use {
+		d.Use[o] = [3]int64{u.Requests, u.PromptTokens, u.OutputTokens}
+	}
+	return json.Marshal(d)
+}
+
+// UnmarshalJSON reads the short form.
+func (p *Page) UnmarshalJSON(b []byte) error {
+	var d pageData
+	if err := json.Unmarshal(b, &d); err != nil {
+		return err
+	}
+	*p = Page{Number: d.Number, Origin: d.Origin, SealedIn: d.SealedIn, Use: make(window.Use, len(d.Use))}
+	for o, u := range d.Use {
+		p.Use[o] = meter.Use{Requests: u[0], PromptTokens: u[1], OutputTokens: u[2]}
+	}
+	return nil
+}
+
 // Partial is what was booked of a request that its host has not ended yet, from a backend server's own count.
 type Partial struct {
 	Organisation string
