order: a name is not reused when a lease comes back under the same number

An order whose write was on its way when the lease ended could land after the next term had planned another under the same name; the second was then dropped. The test of that found a second fault: closing such an older intent dropped the planned one too.

--- a/internal/capacity/order/order.go
+++ b/internal/capacity/order/order.go
@@ -195,6 +195,9 @@
 	version string
 	// unwritten is a planned intent that the platform may not hold yet.
 	unwritten *Intent
+	// top is the highest number given to an intent, also to one that was forgotten with its term: a lease may
+	// come back under the same fencing number.
+	top uint64
 	// doubted intents were adopted or sent with an unknown result: the receiver is asked before they are sent again.
 	doubted bool
 	retry   time.Time
@@ -290,7 +293,8 @@
 		if len(c.queue) == 0 {
 			return Effect{Wait: c.times.Retry}
 		}
-		n := c.intent.Number + 1
+		n := max(c.intent.Number, c.top) + 1
+		c.top = n
 		c.unwritten = &Intent{
 			Name: fmt.Sprintf("%s-%d-%d", c.receiver, c.fence, n), Number: n, Order: c.queue[0],
 			Holder: c.holder, Fence: c.fence, Open: true, At: now,
@@ -326,8 +330,8 @@
 		return
 	}
 	c.intent, c.version = in, version
-	if found && c.unwritten != nil && in.Name == c.unwritten.Name {
-		c.unwritten = nil
+	if found {
+		c.planned(in.Name)
 	}
 	switch {
 	case !found || !in.Open:
@@ -343,6 +347,13 @@
 	}
 }
 
+// planned notes that the platform holds the intent of the name.
+func (c *Core) planned(name string) {
+	if c.unwritten != nil && c.unwritten.Name == name {
+		c.unwritten = nil
+	}
+}
+
 // Found notes that the platform holds an open intent at a version. An idle core reads it if that is not
 // its own: a predecessor's write may land late.
 func (c *Core) Found(version string) {
@@ -359,7 +370,8 @@
 	switch {
 	case c.State() != Recording && c.State() != Settling:
 	case r == Done:
-		c.version, c.unwritten = version, nil
+		c.version = version
+		c.planned(c.intent.Name)
 		c.fire(Written)
 	default:
 		c.fire(Unsure)
--- a/internal/capacity/order/order_test.go
+++ b/internal/capacity/order/order_test.go
@@ -115,3 +115,28 @@
 		})
 	}
 }
+
+func TestNameIsNotReusedInTheSameTerm(t *testing.T) {
+	c := started(true)
+	c.Seen(begin, order.Intent{}, "", false)
+	_ = c.Add(load("a"))
+	first := c.Next(begin)
+	c.End() // the write of a is on its way
+	c.Begin(begin, 7)
+	c.Seen(begin, order.Intent{}, "", false)
+	_ = c.Add(load("b"))
+	second := c.Next(begin)
+	if first.Intent.Name == second.Intent.Name {
+		t.Fatalf("two orders are called %s", first.Intent.Name)
+	}
+	c.Wrote(begin, order.Stale, "")
+	c.Seen(begin, first.Intent, "1", true) // a has landed
+	if e := c.Next(begin); e.Step != order.AskReceiver || e.Intent.Name != first.Intent.Name {
+		t.Fatalf("%+v", e)
+	}
+	c.Asked(begin, true, true)
+	c.Wrote(begin, order.Done, "2")
+	if e := c.Next(begin); e.Intent.Name != second.Intent.Name || e.Version != "2" {
+		t.Fatalf("the second order is lost: %+v", e)
+	}
+}
--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -29,7 +29,7 @@
 	// silentAfter is how long a host has not flushed when the backend servers are asked for its requests.
 	silentAfter = 45 * time.Second
 	// settleInterval is the time between two such readings without a hint. A reading lists all ledgers.
-	settleInterval = 10 * time.Minute
+	settleInterval = time.Hour
 	// settleFor is how long after its last flush a silent host's requests are asked for.
 	settleFor = 2 * time.Hour
 	// readTimeout bounds one reading of a backend server's counts.
