--- a/internal/capacity/forecast/forecast.go
+++ b/internal/capacity/forecast/forecast.go
@@ -16,7 +16,7 @@
 	levelTime = 3 * time.Minute
 	// slotWeight is the weight of the newest week in a slot's peak.
 	slotWeight = 0.5
-	// minScale and maxScale bound how far a week may differ from the pattern.
+	// minScale and maxScale bound how far a week may differ from the pattern, maxScale also how far a trend is followed.
 	minScale, maxScale = 0.8, 1.5
 )
 
@@ -78,7 +78,9 @@
 
 // Peak returns the highest demand expected from now to the horizon.
 func (f *Forecast) Peak(now time.Time, horizon time.Duration) float64 {
-	peak := max(f.level+max(f.trend, 0)*horizon.Seconds(), 0)
+	// A jump looks like a steep trend for some minutes: it is followed only so far.
+	rising := min(f.level+max(f.trend, 0)*horizon.Seconds(), f.level*maxScale)
+	peak := max(rising, 0)
 	scale := f.scale(now)
 	for t := now; !t.After(now.Add(horizon)); t = t.Add(slotLength) {
 		peak = max(peak, f.at(t)*scale)
--- /dev/null
+++ b/internal/capacity/planner/planner_test.go
@@ -0,0 +1,136 @@
+package planner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/capacity/order"
+	"shallotramp/internal/capacity/planner"
+	"shallotramp/internal/capacity/sizing"
+)
+
+// cloud starts and stops servers as ordered, and checks what it is asked.
+type cloud struct {
+	mu      sync.Mutex
+	demand  sizing.Demand
+	servers []planner.Server
+	started map[string]time.Time
+	count   int
+	// cut counts servers that were stopped with open work or without a drain.
+	cut, starts, stops int
+}
+
+func (c *cloud) Pools(context.Context) ([]planner.Pool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.servers {
+		s := &c.servers[i]
+		s.Starting = time.Since(c.started[s.Name]) < 5*time.Minute
+		if s.Draining && s.Open > 0 {
+			s.Open--
+		}
+	}
+	usable := map[string]bool{"mid-a": true, "mid-b": true, "mid-c": true}
+	return []planner.Pool{{
+		Name: "briefings", Bounds: sizing.Bounds{Min: 3, Max: 30, MaxReclaimable: 0.5}, Zones: []string{"mid-a", "mid-b", "mid-c"},
+		Usable: usable, Demand: c.demand, Servers: append([]planner.Server(nil), c.servers...),
+	}}, nil
+}
+
+func (c *cloud) Order(_ context.Context, o order.Order) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.Action == order.StopServer {
+		for i, s := range c.servers {
+			if s.Name == o.Server {
+				if s.Open > 0 || !s.Draining {
+					c.cut++
+				}
+				c.stops++
+				c.servers = append(c.servers[:i], c.servers[i+1:]...)
+				return nil
+			}
+		}
+		return nil
+	}
+	kind := sizing.Regular
+	if o.Reclaimable {
+		kind = sizing.Reclaimable
+	}
+	for range o.Count {
+		c.count++
+		c.starts++
+		name := fmt.Sprintf("runner-%d", c.count)
+		c.started[name] = time.Now()
+		c.servers = append(c.servers, planner.Server{Name: name, Place: sizing.Place{Zone: o.Zone, Kind: kind}, Starting: true, Open: 3})
+	}
+	return nil
+}
+
+func (c *cloud) Drain(_ context.Context, server string, drain bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.servers {
+		if c.servers[i].Name == server {
+			c.servers[i].Draining = drain
+		}
+	}
+	return nil
+}
+
+func (c *cloud) live() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.servers {
+		if !s.Draining {
+			n++
+		}
+	}
+	return n
+}
+
+func TestDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cloud{started: map[string]time.Time{}}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		var gone atomic.Bool
+		p := planner.New(sizing.DefaultSettings(), c, c, func(time.Time) bool { return !gone.Load() }, zerolog.Nop())
+		go p.Run(ctx, done)
+		at := func(d sizing.Demand, span time.Duration) int {
+			c.mu.Lock()
+			c.demand = d
+			c.mu.Unlock()
+			time.Sleep(span + time.Second)
+			return c.live()
+		}
+		convey.Convey("A pool over a day", t, func() {
+			low := at(sizing.Demand{Firm: 1.9, Flexible: 1.9}, 30*time.Minute)
+			starts := c.starts
+			convey.So(low, convey.ShouldBeBetween, 4, 8)
+			convey.So(at(sizing.Demand{Firm: 1.9, Flexible: 1.9}, 3*time.Hour), convey.ShouldEqual, low)
+			convey.So(c.starts, convey.ShouldEqual, starts)
+			high := at(sizing.Demand{Firm: 5.9, Flexible: 5.9}, 2*time.Hour)
+			convey.So(high, convey.ShouldBeBetween, 14, 31)
+			convey.So(at(sizing.Demand{Firm: 1.9, Flexible: 1.9}, 20*time.Minute), convey.ShouldEqual, high)
+			convey.So(at(sizing.Demand{Firm: 1.9, Flexible: 1.9}, 3*time.Hour), convey.ShouldEqual, low)
+			convey.So(c.stops, convey.ShouldBeGreaterThan, 0)
+			convey.So(c.cut, convey.ShouldEqual, 0)
+			gone.Store(true)
+			starts = c.starts
+			at(sizing.Demand{Firm: 5.9, Flexible: 5.9}, time.Hour)
+			convey.So(c.starts, convey.ShouldEqual, starts)
+		})
+		stop()
+		<-done
+	})
+}
--- a/internal/capacity/sizing/sizing.go
+++ b/internal/capacity/sizing/sizing.go
@@ -91,6 +91,13 @@
 	return &Sizer{set: set, bounds: b, zones: zones}
 }
 
+// Same reports whether the pool's bounds and zones are still those of s.
+func (s *Sizer) Same(b Bounds, zones []string) bool {
+	zones = slices.Clone(zones)
+	slices.Sort(zones)
+	return b == s.bounds && slices.Equal(zones, s.zones)
+}
+
 // need returns the servers for a demand. Regular servers carry the firm work even when a zone is gone;
 // until then the reserve runs flexible work. What is left of that runs on reclaimable servers.
 func (s *Sizer) need(d Demand) (regular, reclaimable int) {
--- a/internal/capacity/sizing/week_test.go
+++ b/internal/capacity/sizing/week_test.go
@@ -388,9 +388,9 @@
 	}
 }
 
-// noWorse reports whether o harms no work more than p does.
+// noWorse reports whether o harms no work more than p does and runs as much of it on cheaper servers.
 func (o outcome) noWorse(p outcome) bool {
-	return o.firm >= p.firm && o.flex >= p.flex && o.exposed <= p.exposed
+	return o.firm >= p.firm && o.flex >= p.flex && o.exposed <= p.exposed && o.cheap >= p.cheap
 }
 
 func TestReplacementAtOnceOrBelowAThreshold(t *testing.T) {
