load, fake: plain services report their load, or nothing

Cause: a service that answers 200 to every path, as the stand-in did, would have been found gone after three polls that could not be read. What cannot be read is a server that is alive and tells nothing.

--- a/internal/engine/fake/service.go
+++ b/internal/engine/fake/service.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -69,6 +71,8 @@
 	Journal
 	mux *http.ServeMux
 
+	running atomic.Int64
+
 	mu     sync.Mutex
 	faults ServiceFaults
 	runs   map[string]int
@@ -78,6 +82,7 @@
 func NewService() *Service {
 	s := &Service{mux: http.NewServeMux(), runs: map[string]int{}}
 	s.mux.HandleFunc("GET /seen", s.ServeSeen)
+	s.mux.HandleFunc("GET /metrics", s.metrics)
 	s.mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(s.Runs()) })
 	s.mux.HandleFunc("PUT /faults", s.serveFaults)
 	s.mux.HandleFunc("/", s.call)
@@ -115,7 +120,20 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// metrics reports the load in the text format.
+func (s *Service) metrics(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	gone := s.faults.Gone
+	s.mu.Unlock()
+	if gone {
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprintf(w, "# TYPE service_requests_running gauge\nservice_requests_running %d\n", s.running.Load())
+}
+
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	s.mu.Lock()
 	f := s.faults
 	if s.faults.LoseAnswers > 0 {
--- a/internal/engine/load/read.go
+++ b/internal/engine/load/read.go
@@ -18,8 +18,9 @@
 // maxAnswerBytes bounds what is read of one answer.
 const maxAnswerBytes = 4 << 20
 
-// Names of the metrics that engines publish.
+// Names of the metrics that engines and plain services publish.
 const (
+	serviceMetric  = "service_requests_running"
 	runningMetric  = "vllm:num_requests_running"
 	waitingMetric  = "vllm:num_requests_waiting"
 	leavingMetric  = "engine_leaving"
@@ -83,7 +84,8 @@
 	parser := expfmt.NewTextParser(model.UTF8Validation)
 	families, err := parser.TextToMetricFamilies(bytes.NewReader(body))
 	if err != nil {
-		return l, err
+		// A plain service may answer each path in its own way; it is alive.
+		return l, nil
 	}
 	// A server may hold several engines or models, told apart by labels.
 	sum := func(name string) (total float64) {
@@ -92,7 +94,7 @@
 		}
 		return total
 	}
-	l.Running = int(sum(runningMetric))
+	l.Running = int(sum(runningMetric) + sum(serviceMetric))
 	l.Waiting = int(sum(waitingMetric))
 	l.Leaving = sum(leavingMetric) > 0
 	l.CacheSequence = uint64(sum(sequenceMetric))
