--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -106,7 +106,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	parts := []func(context.Context, chan<- error){h.loop.Run, h.enforce, h.claims.Run}
+	parts := []func(context.Context, chan<- error){h.loop.Run, h.enforce, h.claims.Run, h.poller().Run}
 	if h.node != nil {
 		parts = append(parts, h.node.Run, h.leases.Run)
 	} else {
