reporter: ask servers for silent hosts only, by incarnation

Reading all counts of all servers at each freeze would move hundreds of MB an hour at the two-year size. The reporter now asks for the incarnations of silent hosts, and of hosts that peers tell to have vanished without a ledger; a host writes its ledger at its start, so that these are rare.

--- a/internal/usage/ledger/ledger.go
+++ b/internal/usage/ledger/ledger.go
@@ -160,15 +160,16 @@
 	return r
 }
 
-// Run flushes until ctx ends and then reports on done. A planned stop calls [Ledger.Close] first.
+// Run flushes at once, so that the platform knows the incarnation, and again until ctx ends; then it reports
+// on done. A planned stop calls [Ledger.Close] first.
 func (l *Ledger) Run(ctx context.Context, done chan<- error) {
 	for {
+		if err := l.Flush(ctx); err != nil {
+			l.log.Warn().Err(err).Msg("usage not flushed; it is kept in memory and flushed later")
+		}
 		t := time.NewTimer(Interval(l.hosts()))
 		select {
 		case <-t.C:
-			if err := l.Flush(ctx); err != nil {
-				l.log.Warn().Err(err).Msg("usage not flushed; it is kept in memory and flushed later")
-			}
 		case <-ctx.Done():
 			t.Stop()
 			done <- nil
--- a/internal/usage/reporter/engine_test.go
+++ b/internal/usage/reporter/engine_test.go
@@ -99,6 +99,7 @@
 	lease.take("reporter-1")
 	rep := reporter.New("reporter-1", st, &seat{t: lease, name: "reporter-1"}, sink, reporter.WithWindow(windowLength, windowGrace),
 		reporter.WithRecords(records, func() []string { return []string{"runner-1"} }, func() []string { return organisations }))
+	rep.Vanished(time.Now(), book.Incarnation())
 	for range 100 {
 		if err := rep.Step(t.Context()); err != nil {
 			t.Fatal(err)
--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -7,7 +7,7 @@
 	"context"
 	"encoding/json"
 	"sort"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,8 +73,11 @@
 	// settled is when silent hosts' requests were last asked for, unread what then gave no answer.
 	settled time.Time
 	unread  []string
-	// vanished is when a host was last told to have vanished, as Unix nanoseconds; zero for none since the last reading.
-	vanished atomic.Int64
+	// vanished holds the incarnations that were told to have vanished, and when; hinted is the newest of
+	// these that no reading has covered.
+	mu       sync.Mutex
+	vanished map[string]time.Time
+	hinted   time.Time
 	// frozen caches windows that are frozen, for their members.
 	frozen map[window.ID]*window.Window
 }
@@ -110,7 +113,7 @@
 	r := &Reporter{
 		name: name, store: st, lease: lease, sink: sink, log: zerolog.Nop(),
 		length: ledger.DefaultWindow, grace: DefaultGrace, term: DefaultTerm,
-		servers: none, names: none, frozen: map[window.ID]*window.Window{},
+		servers: none, names: none, frozen: map[window.ID]*window.Window{}, vanished: map[string]time.Time{},
 	}
 	for _, o := range opts {
 		o(r)
@@ -118,9 +121,21 @@
 	return r
 }
 
-// Vanished hints that a host has vanished, so that backend servers are asked for its requests soon. It
-// is safe for concurrent use.
-func (r *Reporter) Vanished(now time.Time) { r.vanished.Store(now.UnixNano()) }
+// Vanished hints that a host's incarnation has vanished, so that backend servers are asked for its requests
+// soon, also if it has never written its ledger. It is safe for concurrent use.
+func (r *Reporter) Vanished(now time.Time, incarnation string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.vanished[incarnation]; ok {
+		return
+	}
+	for i, at := range r.vanished {
+		if now.Sub(at) > settleFor {
+			delete(r.vanished, i)
+		}
+	}
+	r.vanished[incarnation], r.hinted = now, now
+}
 
 // Run reports windows while the lease is held, until ctx ends; then it reports on done.
 func (r *Reporter) Run(ctx context.Context, done chan<- error) {
--- a/internal/usage/reporter/settle.go
+++ b/internal/usage/reporter/settle.go
@@ -40,38 +40,51 @@
 		}
 	}
 	r.settled, r.unread = time.Now(), nil
-	if len(silent) == 0 && !now {
-		return nil
-	}
-	counts, unread := r.readAll(ctx)
-	for _, server := range unread {
-		for _, s := range silent {
-			r.unread = append(r.unread, s.Host+" "+server)
-		}
-	}
-	for incarnation, sums := range counts {
-		if err := r.bookSilent(ctx, known, silent, incarnation, sums); err != nil {
+	for incarnation, host := range r.missing(known, silent) {
+		if err := r.bookSilent(ctx, known, incarnation, host); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// missing returns the incarnations to ask for, with their hosts: silent ones, and those that vanished without a ledger.
+func (r *Reporter) missing(known map[string]store.Object, silent map[string]*ledger.Spec) map[string]string {
+	out := map[string]string{}
+	for incarnation, s := range silent {
+		out[incarnation] = s.Host
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for incarnation, at := range r.vanished {
+		if _, ok := known[incarnation]; !ok && time.Since(at) > silentAfter {
+			out[incarnation] = "unknown"
+		}
+	}
+	return out
+}
+
 // settleDue reports whether a reading is due, by time or by a hint old enough for the host to count as silent.
 func (r *Reporter) settleDue() bool {
-	v := r.vanished.Load()
-	if v != 0 && time.Since(time.Unix(0, v)) > silentAfter && r.vanished.CompareAndSwap(v, 0) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.hinted.IsZero() && time.Since(r.hinted) > silentAfter {
+		r.hinted = time.Time{}
 		return true
 	}
 	return time.Since(r.settled) >= settleInterval
 }
 
 // bookSilent raises one incarnation's requests to the servers' counts.
-func (r *Reporter) bookSilent(ctx context.Context, known map[string]store.Object, silent map[string]*ledger.Spec, incarnation string, sums map[tag.Tag]meter.Use) error {
-	o, ok := known[incarnation]
-	if ok && silent[incarnation] == nil {
+func (r *Reporter) bookSilent(ctx context.Context, known map[string]store.Object, incarnation, host string) error {
+	sums, unread := r.readAll(ctx, incarnation)
+	for _, server := range unread {
+		r.unread = append(r.unread, host+" "+server)
+	}
+	if len(sums) == 0 {
 		return nil
 	}
+	o, ok := known[incarnation]
 	if !ok {
 		var err error
 		if o, ok, err = r.adopt(ctx, incarnation); err != nil || !ok {
@@ -128,11 +141,11 @@
 	return changed
 }
 
-// readAll sums all servers' counts by incarnation and request, and names the servers that gave none.
-func (r *Reporter) readAll(ctx context.Context) (map[string]map[tag.Tag]meter.Use, []string) {
+// readAll sums all servers' counts of an incarnation by request, and names the servers that gave none.
+func (r *Reporter) readAll(ctx context.Context, incarnation string) (map[tag.Tag]meter.Use, []string) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	out := map[string]map[tag.Tag]meter.Use{}
+	out := map[tag.Tag]meter.Use{}
 	var unread []string
 	slots := make(chan struct{}, readersAtOnce)
 	for _, server := range r.servers() {
@@ -141,29 +154,20 @@
 			defer func() { <-slots }()
 			ctx, cancel := context.WithTimeout(ctx, readTimeout)
 			defer cancel()
-			counts, err := r.records.Counts(ctx, server, "")
+			counts, err := r.records.Counts(ctx, server, incarnation)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
 				unread = append(unread, server)
 				return
 			}
-			addCounts(out, counts)
+			for t, u := range counts {
+				sum := out[t].Add(u)
+				sum.Requests = 1
+				out[t] = sum
+			}
 		})
 	}
 	wg.Wait()
 	return out, unread
 }
-
-func addCounts(out map[string]map[tag.Tag]meter.Use, counts map[tag.Tag]meter.Use) {
-	for t, u := range counts {
-		sums := out[t.Incarnation]
-		if sums == nil {
-			sums = map[tag.Tag]meter.Use{}
-			out[t.Incarnation] = sums
-		}
-		sum := sums[t].Add(u)
-		sum.Requests = 1
-		sums[t] = sum
-	}
-}
--- a/internal/usage/reporter/world_test.go
+++ b/internal/usage/reporter/world_test.go
@@ -178,6 +178,8 @@
 	lines   []*fake.Line
 	calm    bool
 	kills   int
+	// dead lists vanished incarnations, as other hosts know them from heartbeats.
+	dead    []string
 	reports int
 	deaf    bool
 	// alone leaves out the servers' own counts.
@@ -246,6 +248,7 @@
 	if ctx.Err() == nil {
 		w.mu.Lock()
 		w.kills++
+		w.dead = append(w.dead, book.Incarnation())
 		w.mu.Unlock()
 		return
 	}
@@ -288,6 +291,12 @@
 	r.End()
 }
 
+func (w *world) deadHosts() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.dead...)
+}
+
 // reporterSeat runs one reporter after the other until ctx ends.
 func (w *world) reporterSeat(ctx context.Context) {
 	defer w.wg.Done()
@@ -307,6 +316,9 @@
 			if w.src.chance(0.05) {
 				w.lease.take(name)
 			}
+			for _, incarnation := range w.deadHosts() {
+				r.Vanished(time.Now(), incarnation)
+			}
 			_ = r.Step(life)
 			time.Sleep(time.Second + w.src.upTo(9*time.Second))
 		}
@@ -342,7 +354,8 @@
 
 func (w *world) heal() {
 	w.store.SetFaults(fake.Faults{})
-	w.sink.SetFaults(fake.ReportFaults{})
+	// Each fault leaves one answer to be lost, so that each run has reports that are sent again.
+	w.sink.SetFaults(fake.ReportFaults{LoseAnswers: 1})
 	for _, n := range w.engines.names() {
 		w.engines.setCut(n, false)
 	}
