queue: leave a place to another host for an eighth of a request's time at most

Cause: hosts left free places to organisations that other hosts told had less, for up to 1.5 s, each by news that was 250 ms old. With requests of 0.2 s all hosts waited for each other: engines ran 0 to 4 of 8 while 300 requests waited on each host. Ruled out: the servers' shares (grants were free) and the load reports.

--- a/internal/traffic/queue/class.go
+++ b/internal/traffic/queue/class.go
@@ -39,6 +39,8 @@
 	Starts int
 	// PeerLeast is the least use of an organisation whose work waits on another host; negative if none does.
 	PeerLeast float64
+	// Service is the mean time of a request on its server; zero while unknown.
+	Service time.Duration
 
 	// yielded is since when the class leaves places to work of other hosts.
 	yielded time.Time
@@ -227,8 +229,11 @@
 const (
 	// yieldShare is how much more than that of another host an organisation may have had to go first.
 	yieldShare = 1.05
-	// yieldTime is how long a class leaves a free place to another host.
+	// yieldTime is how long at most a class leaves a free place to another host.
 	yieldTime = 1500 * time.Millisecond
+	// yieldService is the part of a request's time for which a place is left: an idle place must
+	// cost little beside the work that will use it.
+	yieldService = 8
 )
 
 // yields reports whether the class leaves a place to work of another host, of an organisation
@@ -241,7 +246,11 @@
 	if c.yielded.IsZero() {
 		c.yielded = now
 	}
-	return now.Sub(c.yielded) < yieldTime
+	patience := yieldTime
+	if c.Service > 0 {
+		patience = min(patience, c.Service/yieldService)
+	}
+	return now.Sub(c.yielded) < patience
 }
 
 // pass moves items that cannot start within their target any more behind those that can.
--- a/internal/traffic/scheduler/finish.go
+++ b/internal/traffic/scheduler/finish.go
@@ -82,6 +82,7 @@
 func (p *pool) observe(e *entry, r request.Result) {
 	st := p.class(e.req.Class)
 	st.service.add(r.Elapsed.Seconds())
+	p.q.Class(e.req.Class).Service = time.Duration(st.service.or(0) * float64(time.Second))
 	if p.engine {
 		st.observe(e.req.Organisation, e.before+r.OutputTokens-r.Delivered)
 	}
