balance: chance between servers of equal cost

Cause: with little load all hosts chose the same one of equal servers, the last in the list; a host before two idle engines sent 40 of 40 requests in turn to one.

--- a/internal/traffic/balance/choose.go
+++ b/internal/traffic/balance/choose.go
@@ -26,6 +26,8 @@
 	failureCost = 0.5
 	// priceCost in seconds is what a server of the pool's mean price counts.
 	priceCost = 0.05
+	// tieNoise varies costs a little, so that hosts do not all choose the same one of equal servers.
+	tieNoise = 0.001
 	// minPairTokens is the smallest part of a prompt not cached that is read by another server.
 	minPairTokens = 1024
 	// sameZoneCost in seconds keeps a retry out of the zone where an attempt failed.
@@ -231,7 +233,7 @@
 		return
 	}
 	cached := s.b.cache.match(v, s.r.Prefix)
-	c := s.costOf(v, cached)
+	c := s.costOf(v, cached) * (1 + tieNoise*s.b.rng.Float64())
 	if s.best == nil || c < s.cost {
 		s.best, s.cost, s.cached = v, c, cached > 0
 	}
