load, fake: plain services report their load, or nothing

Cause: a service that answers 200 to every path, as the stand-in did, would have been found gone after three polls that could not be read. What cannot be read is a server that is alive and tells nothing.

--- a/internal/engine/load/load_test.go
+++ b/internal/engine/load/load_test.go
@@ -178,6 +178,36 @@
 	})
 }
 
+func TestPollerOfPlainServices(t *testing.T) {
+	tests := map[string]struct {
+		handler http.Handler
+		running int
+	}{
+		"a service that reports its load":         {fake.NewService(), 0},
+		"a service that answers 200 to all paths": {http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"Path":"/metrics"}`)) }), 0},
+		"a service without metrics":               {http.NotFoundHandler(), 0},
+		"a busy service":                          {http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("vllm:num_requests_running 3\n")) }), 3},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := New("a", &release.Holder{}, &sink{}, WithTransport(handlerTransport{tc.handler}))
+			l, err := p.readMetrics(t.Context(), "http://10.0.0.1:80/metrics")
+			if err != nil || l.Running != tc.running || l.At.IsZero() {
+				t.Errorf("load %+v, error %v", l, err)
+			}
+		})
+	}
+}
+
+// handlerTransport answers requests by a handler.
+type handlerTransport struct{ h http.Handler }
+
+func (t handlerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	rec := httptest.NewRecorder()
+	t.h.ServeHTTP(rec, r)
+	return rec.Result(), nil
+}
+
 func TestPollerBoundsSlowServers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(200, true)
--- a/internal/engine/load/read.go
+++ b/internal/engine/load/read.go
@@ -20,7 +20,7 @@
 // maxAnswerBytes bounds what is read of one answer.
 const maxAnswerBytes = 4 << 20
 
-// Names of the metrics that engines publish.
+// Names of the metrics that engines publish, and plain services that report their load.
 const (
 	runningMetric  = "vllm:num_requests_running"
 	waitingMetric  = "vllm:num_requests_waiting"
@@ -96,7 +96,8 @@
 	parser := expfmt.NewTextParser(model.UTF8Validation)
 	families, err := parser.TextToMetricFamilies(bytes.NewReader(body))
 	if err != nil {
-		return l, err
+		// A plain service may answer each path in its own way; it is alive.
+		return l, nil
 	}
 	// A server may hold several engines or models, told apart by labels.
 	sum := func(name string) (total float64) {
