balance: short answers and long prompts are no stall

Cause: a server counted as stalled when no stream had told of progress for 2 s. Answers shorter than a report of progress (16 tokens) never tell, so that a server with a steady flow of them sank to the lowest speed and to one place. Only streams that generated tokens before count now; and a rate leaves the first token out, which ends the prefill.

--- a/internal/traffic/balance/balance.go
+++ b/internal/traffic/balance/balance.go
@@ -70,9 +70,11 @@
 	started  time.Time
 	progress time.Time
 	stream   bool
-	arrived  time.Time
-	prefix   []uint64
-	cached   int
+	// generating is set by the first report of tokens.
+	generating bool
+	arrived    time.Time
+	prefix     []uint64
+	cached     int
 }
 
 // Option changes a [Balancer].
@@ -200,10 +202,10 @@
 	if old, ok := b.runs[r.ID]; ok {
 		b.leave(now, old)
 	}
-	n := &run{server: v, started: now, progress: now, stream: r.Streaming, arrived: r.Arrived, prefix: r.Prefix}
+	n := &run{server: v, started: now, stream: r.Streaming, arrived: r.Arrived, prefix: r.Prefix}
 	n.cached = b.cache.match(v, r.Prefix)
 	b.runs[r.ID] = n
-	v.enter(now, n.stream)
+	v.enter(now)
 	b.cache.note(v, r.Prefix)
 	b.update(now, v)
 }
@@ -214,8 +216,11 @@
 	if !ok {
 		return
 	}
-	if n.progress.After(n.started) {
+	if n.generating {
 		b.learn(now, n.server, tokens, now.Sub(n.progress))
+	} else {
+		n.generating = true
+		n.server.streams++
 	}
 	n.progress = now
 	n.server.progress = now
@@ -237,7 +242,7 @@
 
 // leave takes an attempt off its server.
 func (b *Balancer) leave(now time.Time, n *run) {
-	n.server.leave(now, n.stream)
+	n.server.leave(now, n.generating)
 	b.update(now, n.server)
 }
 
--- a/internal/traffic/balance/balance_test.go
+++ b/internal/traffic/balance/balance_test.go
@@ -215,6 +215,25 @@
 	}
 }
 
+func TestShortAnswersAreNoStall(t *testing.T) {
+	b := newBalancer(1, newSet(2, 8, "a"))
+	for _, name := range []string{"s0000", "s0001"} {
+		b.learn(start, b.servers[name], 40, time.Second)
+	}
+	now := start
+	for i := range 100 {
+		now = now.Add(200 * time.Millisecond)
+		b.Started(now, newRequest(i, "batch"), "s0000")
+		if i >= 4 {
+			r := newRequest(i-4, "batch")
+			b.Finished(now, r, request.Result{ID: r.ID, Server: "s0000", Outcome: request.Completed, OutputTokens: 3})
+		}
+	}
+	if s := b.servers["s0000"].speed; s < fullSpeed {
+		t.Errorf("speed %v of a server that gives short answers", s)
+	}
+}
+
 func TestSlowServerIsSparedByTightClasses(t *testing.T) {
 	convey.Convey("Given a server five times as slow as the others", t, func() {
 		set := newSet(4, 8, "a")
--- a/internal/traffic/balance/learn.go
+++ b/internal/traffic/balance/learn.go
@@ -74,7 +74,8 @@
 
 func clamp(speed float64) float64 { return min(maxSpeed, max(minSpeed, speed)) }
 
-// stall lowers the speed of a server whose streams are silent.
+// stall lowers the speed of a server whose streams went silent after they had generated tokens: one that
+// reads a long prompt, or gives answers shorter than a report of tokens, is not meant.
 func (b *Balancer) stall(now time.Time, v *server) {
 	p := v.pool
 	if silent := now.Sub(v.progress); v.streams > 0 && silent > stallTime && p.rated > 1 {
@@ -102,5 +103,6 @@
 		return
 	}
 	p.tokenOut.add(float64(res.OutputTokens))
-	b.learn(now, n.server, res.OutputTokens, decode)
+	// The first token ends the prefill.
+	b.learn(now, n.server, res.OutputTokens-1, decode)
 }
--- a/internal/traffic/balance/measure_test.go
+++ b/internal/traffic/balance/measure_test.go
@@ -123,3 +123,27 @@
 		})
 	}
 }
+
+// TestServersAreKeptBusy offers more than the servers can do, and compares the tokens with those of round
+// robin, which overfills all servers and so leaves none idle.
+func TestServersAreKeptBusy(t *testing.T) {
+	tests := map[string]simConfig{
+		"one host, long answers":       {hosts: 1},
+		"one host, short answers":      {hosts: 1, output: 20},
+		"several hosts, long answers":  {hosts: 6},
+		"several hosts, short answers": {hosts: 6, output: 20},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			run := func(ours bool) *simResult {
+				cfg := tc
+				cfg.load, cfg.servers, cfg.zones, cfg.length, cfg.seed, cfg.ours = 1.5, 10, 2, 30*time.Second, 1, ours
+				return runSim(cfg)
+			}
+			if ours, full := run(true), run(false); float64(ours.tokens) < 0.9*float64(full.tokens) {
+				t.Errorf("%d tokens of %d", ours.tokens, full.tokens)
+			}
+		})
+	}
+}
--- a/internal/traffic/balance/server.go
+++ b/internal/traffic/balance/server.go
@@ -57,7 +57,7 @@
 	goneAt, slowSince          time.Time
 	usable                     bool
 
-	// own and streams count this host's attempts, others those that the peers told of, and foreign
+	// own counts this host's attempts, streams those that have generated tokens, others those that the peers told of, and foreign
 	// those of the load reports that belonged to neither. users counts the peers of other zones
 	// that have work on the server.
 	own, streams, others, users int
@@ -118,23 +118,17 @@
 	return 1
 }
 
-func (v *server) enter(now time.Time, stream bool) {
+func (v *server) enter(now time.Time) {
 	v.own++
 	v.grant--
-	if stream {
-		if v.streams == 0 {
-			v.progress = now
-		}
-		v.streams++
-	}
 	v.change(now, 1)
 }
 
-func (v *server) leave(now time.Time, stream bool) {
+func (v *server) leave(now time.Time, generating bool) {
 	v.own--
 	// The place is this host's to fill again: no other host knows of it yet.
 	v.grant++
-	if stream {
+	if generating {
 		v.streams--
 	}
 	v.change(now, -1)
--- a/internal/traffic/balance/sim_test.go
+++ b/internal/traffic/balance/sim_test.go
@@ -100,6 +100,8 @@
 	ours   bool
 	// hedge is the time without a first token after which a request runs a second time elsewhere; 0 is never.
 	hedge time.Duration
+	// output is the mean length of an answer; 0 is simMeanOut.
+	output float64
 }
 
 // simResult is what a run measured.
@@ -191,6 +193,9 @@
 }
 
 func runSim(cfg simConfig) *simResult {
+	if cfg.output == 0 {
+		cfg.output = simMeanOut
+	}
 	s := &sim{cfg: cfg, now: start, rng: rand.New(rand.NewPCG(cfg.seed, 3)), byName: map[string]*simEngine{}}
 	s.build()
 	s.at(0, s.arrive)
@@ -261,12 +266,12 @@
 	for _, e := range s.engines {
 		capacity += simSlots / e.slow
 	}
-	perRequest := simMeanOut*simInterval.Seconds() + simPrompt*simPrefill.Seconds()
+	perRequest := s.cfg.output*simInterval.Seconds() + simPrompt*simPrefill.Seconds()
 	gap := perRequest / (s.cfg.load * capacity)
 	s.at(time.Duration(s.rng.ExpFloat64()*gap*float64(time.Second)), s.arrive)
 	s.jobs++
 	j := &simJob{host: s.hosts[s.rng.IntN(len(s.hosts))]}
-	j.length = min(simMaxOut, max(4, int(simMeanOut*math.Exp(0.8*s.rng.NormFloat64()-0.32))))
+	j.length = min(simMaxOut, max(4, int(s.cfg.output*math.Exp(0.8*s.rng.NormFloat64()-0.32))))
 	j.req = &request.Request{
 		ID: request.ID(fmt.Sprint(s.jobs)), Class: "chat", Tier: 1, Pool: "models", Model: "m", Streaming: true,
 		PromptTokens: simPrompt, Arrived: s.now, Deadline: s.now.Add(simPatience), Prefix: s.prefix(), Zone: j.host.zone,
