--- a/internal/engine/fake/service.go
+++ b/internal/engine/fake/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -70,20 +71,20 @@
 	Journal
 	mux *http.ServeMux
 
+	running atomic.Int64
+
 	mu     sync.Mutex
 	faults ServiceFaults
 	runs   map[string]int
-	// running counts the calls in the service.
-	running int
 }
 
 // NewService returns a service without runs.
 func NewService() *Service {
 	s := &Service{mux: http.NewServeMux(), runs: map[string]int{}}
 	s.mux.HandleFunc("GET /seen", s.ServeSeen)
+	s.mux.HandleFunc("GET /metrics", s.metrics)
 	s.mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(s.Runs()) })
 	s.mux.HandleFunc("PUT /faults", s.serveFaults)
-	s.mux.HandleFunc("GET /metrics", s.metrics)
 	s.mux.HandleFunc("/", s.call)
 	return s
 }
@@ -119,27 +120,26 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// metrics reports the load in the form of the engines.
+// metrics reports the load in the text format.
 func (s *Service) metrics(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	running := s.running
+	gone := s.faults.Gone
 	s.mu.Unlock()
-	fmt.Fprintf(w, "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running %d\n", running)
+	if gone {
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprintf(w, "# TYPE service_requests_running gauge\nservice_requests_running %d\n", s.running.Load())
 }
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
 	s.mu.Lock()
 	f := s.faults
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 	}
-	s.running++
 	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		s.running--
-		s.mu.Unlock()
-	}()
 	if f.Gone {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/engine/load/load_test.go
+++ b/internal/engine/load/load_test.go
@@ -186,7 +186,7 @@
 		"a service that reports its load":         {fake.NewService(), 0},
 		"a service that answers 200 to all paths": {http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"Path":"/metrics"}`)) }), 0},
 		"a service without metrics":               {http.NotFoundHandler(), 0},
-		"a busy service":                          {http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("vllm:num_requests_running 3\n")) }), 3},
+		"a busy service":                          {http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("service_requests_running 3\n")) }), 3},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -240,7 +240,7 @@
 			}
 			v.protocol = object.Engine
 			go p.poll(t.Context(), v, strings.TrimPrefix(srv.URL, "http://"), false)
-			if r := <-p.results; (r.err == nil) != (name == "not at all") || r.untold {
+			if r := <-p.results; (r.err != nil) != (name == "with an error") || r.untold {
 				t.Errorf("an engine that answers so gave %v", r.err)
 			}
 		})
