scheduler: a stronger level must be agreed on anew

Cause: when all hosts went from the level of a low tier to that of a higher one, the time of the weaker agreement counted, so a higher tier was shed soon after a lower one was served.

--- a/internal/traffic/scheduler/shed.go
+++ b/internal/traffic/scheduler/shed.go
@@ -155,7 +155,7 @@
 		}
 		on = max(on, s.Applied)
 	}
-	if on == 0 || l.agreedOn == 0 || on > l.agreedOn {
+	if on == 0 || l.agreedOn == 0 || on < l.agreedOn {
 		l.agreed = now
 	}
 	l.agreedOn = on
