scheduler: learn the first tier's reserve from its first tokens

Cause: engines that take no more than their places need a larger reserve than those that slow down, and the fixed one of 0.15 was too large for the latter. The share now moves between 0.08 and 0.25 so that 0.8% of first tokens are late.

--- a/internal/traffic/scheduler/finish.go
+++ b/internal/traffic/scheduler/finish.go
@@ -87,6 +87,9 @@
 	}
 	if first := r.FirstToken - e.started.Sub(e.req.Arrived); e.starts == 1 && r.FirstToken > 0 && first > 0 {
 		st.prefill.add(first.Seconds())
+		if c := p.q.Class(e.req.Class); c.Rank == 1 && len(p.q.Classes()) > 1 {
+			p.learnReserve(r.FirstToken > c.Target)
+		}
 	}
 }
 
--- a/internal/traffic/scheduler/pool.go
+++ b/internal/traffic/scheduler/pool.go
@@ -35,6 +35,8 @@
 	delayed queue.Heap[*entry]
 	victims queue.Heap[*entry]
 	level   level
+	// reserved is the share of places that only the first tier may use.
+	reserved float64
 	// preempting counts attempts that are being preempted.
 	preempting int
 	// allowance is the work that preemption may still waste.
@@ -55,7 +57,7 @@
 
 func newPool(name string, spread float64) *pool {
 	return &pool{
-		name: name, q: queue.New(spread), stats: map[string]*stats{}, peers: map[string]dispatch.PoolState{},
+		name: name, q: queue.New(spread), reserved: firstReserve, stats: map[string]*stats{}, peers: map[string]dispatch.PoolState{},
 		delayed: queue.NewHeap(func(a, b *entry) bool { return a.notBefore.Before(b.notBefore) }, func(e *entry, i int) { e.delayPlace = i }),
 		victims: queue.NewHeap(cheaperVictim, func(e *entry, i int) { e.victimPlace = i }),
 	}
@@ -170,7 +172,7 @@
 // free counts the places of the pool that lower tiers may still take.
 func (p *pool) free(slots int) int {
 	_, all := p.running()
-	return int((1-reserveShare)*float64(slots)) - all
+	return int(float64(slots)-p.reserve(slots)) - all
 }
 
 // quota returns how many of the pool's places this host may hold: those of all its work in tiers
--- a/internal/traffic/scheduler/start.go
+++ b/internal/traffic/scheduler/start.go
@@ -90,14 +90,35 @@
 	return out
 }
 
-// reserveShare is the share of a pool's places that only its first tier may use.
-const reserveShare = 0.15
+// reserve returns how many of a pool's places only its first tier may use now.
+func (p *pool) reserve(slots int) float64 { return p.reserved * float64(slots) }
+
+const (
+	// firstReserve, leastReserve and mostReserve are shares of a pool's places.
+	firstReserve = 0.15
+	leastReserve = 0.08
+	mostReserve  = 0.25
+	// reserveStep is how much more is reserved after a late first token of the first tier.
+	reserveStep = 0.015
+	// lateShare is the share of late first tokens at which the reserve stays as it is.
+	lateShare = 0.008
+)
+
+// learnReserve adjusts the reserve by whether a first token of the first tier came in time: engines
+// that take no more than their places need a larger one than those that only slow down.
+func (p *pool) learnReserve(late bool) {
+	if late {
+		p.reserved = min(mostReserve, p.reserved+reserveStep)
+		return
+	}
+	p.reserved = max(leastReserve, p.reserved-reserveStep*lateShare/(1-lateShare))
+}
 
 // room reports whether work of a rank may start: a server has room, and lower tiers leave the
 // first one some places, so that it need not wait for a long answer to end.
 func (p *Policy) room(now time.Time, pl *pool, rank, slots int) bool {
 	if rank > 1 {
-		usable := (1 - reserveShare) * float64(slots)
+		usable := float64(slots) - pl.reserve(slots)
 		own, all := pl.running()
 		if float64(all) >= usable || float64(own) >= pl.quota(usable) {
 			return false
