cli: usage; demo: engines at 20 ms a token

A token each 5 ms made requests shorter than the exchange between hosts, which no deployment has: the two-year size asks for 76 ms.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -62,6 +62,7 @@
 	Diff     DiffCommand     `cmd:"" help:"Show what differs between files and a release, or between two releases."`
 	History  HistoryCommand  `cmd:"" help:"List the releases."`
 	Status   StatusCommand   `cmd:"" help:"Show in which zones the release is in force, and what is late."`
+	Usage    UsageCommand    `cmd:"" help:"Show usage windows, their states, figures and differences."`
 	Key      KeyCommand      `cmd:"" help:"Grant and withdraw keys."`
 	Explain  ExplainCommand  `cmd:"" help:"Show the decisions taken for one request."`
 	Load     LoadCommand     `cmd:"" help:"Offer open-loop traffic from a profile and report the measures."`
--- a/internal/trial/demo/demo.go
+++ b/internal/trial/demo/demo.go
@@ -34,8 +34,8 @@
 
 const (
 	engineSlots   = 8
-	tokenInterval = 5 * time.Millisecond
-	prefillToken  = 20 * time.Microsecond
+	tokenInterval = 20 * time.Millisecond
+	prefillToken  = 100 * time.Microsecond
 	usageWindow   = 5 * time.Second
 	usageGrace    = 2 * time.Second
 	usageTimeout  = 40 * time.Second
