scheduler: test of the top tier with strict engines, known red

Tried: larger fixed reserves, spare places on each server, no places beyond a server's own, relocation of overdue requests, a learned reserve; what is left are places filled by several hosts at once.

--- a/internal/traffic/scheduler/measure_test.go
+++ b/internal/traffic/scheduler/measure_test.go
@@ -130,6 +130,19 @@
 	}
 }
 
+// TestTopTierWithStrictEngines holds the bound with engines that run no more than their places at once.
+func TestTopTierWithStrictEngines(t *testing.T) {
+	for name, d := range deployments() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d.strict = true
+			if o := newSim(d, faults{}, burst, seed, ours).run(); o.attained[0] < topTierTarget {
+				t.Errorf("the top tier attained %.4f", o.attained[0])
+			}
+		})
+	}
+}
+
 func TestFaultsAndPairsOfFaults(t *testing.T) {
 	for name, f := range faultCases() {
 		for fleet, d := range deployments() {
