--- a/internal/trial/demo/demo.go
+++ b/internal/trial/demo/demo.go
@@ -60,13 +60,12 @@
 	log      zerolog.Logger
 	set      *object.Set
 	platform *platformfake.Store
-	// reports is the platform's receiver of usage reports at reportsURL.
-	reports    *platformfake.Reports
-	reportsURL string
-	engines    map[string]*enginefake.Engine
-	services   map[string]*enginefake.Service
-	hosts      []*host.Host
-	servers    []*http.Server
+	// reports is the platform's receiver of usage reports, at the same address.
+	reports  *platformfake.Reports
+	engines  map[string]*enginefake.Engine
+	services map[string]*enginefake.Service
+	hosts    []*host.Host
+	servers  []*http.Server
 	// authority signs the certificates of the hosts.
 	authority *testcert.Authority
 	cancel    context.CancelFunc
@@ -96,14 +95,14 @@
 	for i := range callers {
 		callers[i] = d.address()
 	}
-	url, err := d.serve(d.platform.Handler())
+	platform := http.NewServeMux()
+	platform.Handle("/", d.platform.Handler())
+	platform.Handle("/usage/", d.reports.Handler())
+	url, err := d.serve(platform)
 	if err != nil {
 		return err
 	}
 	d.Addresses.Platform = url
-	if d.reportsURL, err = d.serve(d.reports.Handler()); err != nil {
-		return err
-	}
 	if err := d.fillObjects(); err != nil {
 		return err
 	}
@@ -191,7 +190,7 @@
 	h, err := host.New(host.Config{
 		Name: hostName(i), Zone: zone, Callers: callers, Operators: d.address(),
 		DrainDelay: drainDelay, DrainTimeout: drainTimeout,
-		Usage: host.Usage{Reports: d.reportsURL, Window: usageWindow, Grace: usageGrace},
+		Usage: host.Usage{Reports: d.Addresses.Platform, Window: usageWindow, Grace: usageGrace},
 		Fleet: host.Fleet{Listen: d.address(), Material: certificate},
 	}, store.NewClient(d.Addresses.Platform), d.log.With().Str("Host", hostName(i)).Logger())
 	if err != nil {
