--- a/internal/entry/host/drain_test.go
+++ b/internal/entry/host/drain_test.go
@@ -21,30 +21,44 @@
 	"shallotramp/internal/platform/fake"
 )
 
-// TestPlannedStopCutsNothing stops a host while streams are open and new requests go on coming.
-func TestPlannedStopCutsNothing(t *testing.T) {
-	e := enginefake.NewEngine(enginefake.Config{Name: "e", Models: []string{"m"}, Slots: 256, TokenInterval: 2 * time.Millisecond})
-	srv := httptest.NewServer(e)
-	defer srv.Close()
-	st := fake.NewStore()
+// startHost runs a host before the given engines, on an open route, until the test or stop ends it. The
+// channel tells how the host ended.
+func startHost(t *testing.T, cfg Config, engines map[string]*enginefake.Engine) (h *Host, stop context.CancelFunc, done chan error) {
+	t.Helper()
 	set := object.NewSet()
 	if errs := object.Read(set, "test", strings.NewReader(sample)); len(errs) > 0 {
 		t.Fatal(errs)
 	}
-	set.Pools["models"].Concurrency = 256
-	set.BackendServers["engine-1"].Address = netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
 	set.Routes["m"].Open = true
+	set.Pools["models"].Concurrency = 256
+	for name, e := range engines {
+		srv := httptest.NewServer(e)
+		t.Cleanup(srv.Close)
+		spec := *set.BackendServers["engine-1"]
+		spec.Name, spec.Address = name, netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+		set.BackendServers[name] = &spec
+	}
+	st := fake.NewStore()
 	if _, err := release.Publish(context.Background(), st, release.Change{Set: set, Author: "test"}, time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	h, err := New(Config{Name: "h", Zone: "mid-a", Callers: loopback, Operators: loopback, DrainDelay: 300 * time.Millisecond, DrainTimeout: 30 * time.Second}, st, zerolog.Nop())
+	cfg.Name, cfg.Zone, cfg.Callers, cfg.Operators = "h", "mid-a", loopback, loopback
+	h, err := New(cfg, st, zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
+	t.Cleanup(stop)
+	done = make(chan error, 1)
 	go func() { done <- h.Run(ctx) }()
 	eventually(t, "the host is ready", func() bool { return h.Status().Ready })
+	return h, stop, done
+}
+
+// TestPlannedStopCutsNothing stops a host while streams are open and new requests go on coming.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	e := enginefake.NewEngine(enginefake.Config{Name: "e", Models: []string{"m"}, Slots: 256, TokenInterval: 2 * time.Millisecond})
+	h, stop, done := startHost(t, Config{DrainDelay: 300 * time.Millisecond, DrainTimeout: 30 * time.Second}, map[string]*enginefake.Engine{"engine-1": e})
 
 	var cut, whole, refused atomic.Int64
 	var wg sync.WaitGroup
@@ -90,24 +104,7 @@
 
 func TestDrainTimeoutIsSaid(t *testing.T) {
 	e := enginefake.NewEngine(enginefake.Config{Name: "e", Models: []string{"m"}, Slots: 1, TokenInterval: time.Second})
-	srv := httptest.NewServer(e)
-	defer srv.Close()
-	st := fake.NewStore()
-	set := object.NewSet()
-	_ = object.Read(set, "test", strings.NewReader(sample))
-	set.BackendServers["engine-1"].Address = netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
-	set.Routes["m"].Open = true
-	if _, err := release.Publish(context.Background(), st, release.Change{Set: set}, time.Now()); err != nil {
-		t.Fatal(err)
-	}
-	h, err := New(Config{Name: "h", Zone: "mid-a", Callers: loopback, Operators: loopback, DrainTimeout: 50 * time.Millisecond}, st, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- h.Run(ctx) }()
-	eventually(t, "the host is ready", func() bool { return h.Status().Ready })
+	h, stop, done := startHost(t, Config{DrainTimeout: 50 * time.Millisecond}, map[string]*enginefake.Engine{"engine-1": e})
 	go func() {
 		res, err := http.Post(h.CallersURL()+"/v1/chat/completions", "application/json", strings.NewReader(`{"model":"m","messages":[{"role":"user","content":"tokens=30"}]}`))
 		if err == nil {
--- a/internal/entry/host/load_test.go
+++ b/internal/entry/host/load_test.go
@@ -1,54 +1,25 @@
 package host
 
 import (
-	"context"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"shallotramp/internal/catalog/object"
-	"shallotramp/internal/catalog/release"
 	enginefake "shallotramp/internal/engine/fake"
-	"shallotramp/internal/platform/fake"
 )
 
 // TestLeavingServerGetsNoNewWork sends requests to a host before two engines, of which one announces that it leaves.
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
-	set := object.NewSet()
-	if errs := object.Read(set, "test", strings.NewReader(sample)); len(errs) > 0 {
-		t.Fatal(errs)
-	}
-	set.Routes["m"].Open = true
 	engines := map[string]*enginefake.Engine{}
 	for _, name := range []string{"engine-1", "engine-2"} {
 		engines[name] = enginefake.NewEngine(enginefake.Config{Name: name, Models: []string{"m"}, Slots: 8, TokenInterval: time.Millisecond})
-		srv := httptest.NewServer(engines[name])
-		defer srv.Close()
-		spec := *set.BackendServers["engine-1"]
-		spec.Name, spec.Address = name, netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
-		set.BackendServers[name] = &spec
-	}
-	st := fake.NewStore()
-	if _, err := release.Publish(context.Background(), st, release.Change{Set: set}, time.Now()); err != nil {
-		t.Fatal(err)
-	}
-	h, err := New(Config{Name: "h", Zone: "mid-a", Callers: loopback, Operators: loopback, DrainTimeout: time.Second}, st, zerolog.Nop())
-	if err != nil {
-		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- h.Run(ctx) }()
+	h, stop, done := startHost(t, Config{DrainTimeout: time.Second}, engines)
 	defer func() {
 		stop()
 		<-done
 	}()
-	eventually(t, "the host is ready", func() bool { return h.Status().Ready })
 	// send returns how many of n requests each engine got.
 	send := func(n int) map[string]int {
 		before := map[string]int{}
