stock, host: serve sizes pools; started servers and drains travel as releases

The planner and the controller were built and not run by serve, because started servers had no way into the configuration. They now enter the release when they are up and leave it when they are gone, by the same conditional update as an operator's change; a drain is a field of the server, so every host and a successor see it.

--- /dev/null
+++ b/internal/capacity/stock/stock.go
@@ -0,0 +1,180 @@
+// Package stock keeps the configuration's backend servers in step with those that
+// the platform runs. Servers that were ordered enter the release when they are up
+// and leave it when they are gone; a drain marks a server as leaving. So every host
+// learns of them as of any other change, and a successor sees what its predecessor
+// began. It is the view and the hands of the planner.
+package stock
+
+import (
+	"context"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/capacity/order"
+	"shallotramp/internal/capacity/planner"
+	"shallotramp/internal/capacity/sizing"
+	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/platform/ordering"
+	"shallotramp/internal/platform/store"
+)
+
+// author stands in the history for releases that the system publishes.
+const author = "shallotramp"
+
+// Lister lists the servers that the platform runs or starts.
+type Lister interface {
+	List(ctx context.Context, base string) ([]ordering.Server, error)
+}
+
+// Orders takes orders. A controller is one.
+type Orders interface {
+	Order(ctx context.Context, o order.Order) error
+}
+
+// Load tells what is asked of pools and servers over all hosts.
+type Load interface {
+	// Requests returns the running and waiting requests of a pool by class.
+	Requests(pool string) map[string]int
+	// Outstanding returns the running requests by server.
+	Outstanding() map[string]int
+}
+
+// Stock implements [planner.View] and [planner.Actor]. Create it with [New].
+type Stock struct {
+	store  store.Store
+	lister Lister
+	base   string
+	orders Orders
+	load   Load
+}
+
+var (
+	_ planner.View  = (*Stock)(nil)
+	_ planner.Actor = (*Stock)(nil)
+)
+
+// New returns a Stock over the ordering interface at base.
+func New(st store.Store, lister Lister, base string, orders Orders, load Load) *Stock {
+	return &Stock{store: st, lister: lister, base: base, orders: orders, load: load}
+}
+
+// Order implements [planner.Actor].
+func (s *Stock) Order(ctx context.Context, o order.Order) error { return s.orders.Order(ctx, o) }
+
+// Drain implements [planner.Actor].
+func (s *Stock) Drain(ctx context.Context, server string, drain bool) error {
+	note := "drain " + server
+	if !drain {
+		note = "keep " + server
+	}
+	_, err := release.Amend(ctx, s.store, author, note, func(set *object.Set) (bool, error) {
+		b, ok := set.BackendServers[server]
+		if !ok || b.Leaving == drain {
+			return false, nil
+		}
+		b.Leaving = drain
+		return true, nil
+	})
+	return errors.Wrapf(err, "%s failed; planning anew", note)
+}
+
+// Pools implements [planner.View]. It first brings the release in step with what the platform runs.
+func (s *Stock) Pools(ctx context.Context) ([]planner.Pool, error) {
+	list, err := s.lister.List(ctx, s.base)
+	if err != nil {
+		return nil, err
+	}
+	var set *object.Set
+	_, err = release.Amend(ctx, s.store, author, "servers as the platform runs them", func(in *object.Set) (bool, error) {
+		set = in
+		return reconcile(in, list), nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s.pools(set, list), nil
+}
+
+// reconcile adds ordered servers that run and removes those that are gone. It reports whether it changed the set.
+func reconcile(set *object.Set, list []ordering.Server) bool {
+	changed := false
+	running := map[string]bool{}
+	for _, l := range list {
+		running[l.Name] = true
+		_, pool := set.Pools[l.Pool]
+		if _, known := set.BackendServers[l.Name]; known || l.Starting || !pool || !l.Address.IsValid() {
+			continue
+		}
+		set.BackendServers[l.Name] = &object.BackendServerSpec{
+			Name: l.Name, Pool: l.Pool, Zone: l.Zone, Address: l.Address, Price: l.Price, Reclaimable: l.Reclaimable, Ordered: true,
+		}
+		changed = true
+	}
+	for name, b := range set.BackendServers {
+		if b.Ordered && !running[name] {
+			delete(set.BackendServers, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// pools returns the pools that the system may size, by name.
+func (s *Stock) pools(set *object.Set, list []ordering.Server) []planner.Pool {
+	open := s.load.Outstanding()
+	var out []planner.Pool
+	for name, spec := range set.Pools {
+		if spec.MaxServers == 0 {
+			continue
+		}
+		p := planner.Pool{
+			Name:   name,
+			Bounds: sizing.Bounds{Min: spec.MinServers, Max: spec.MaxServers, MaxReclaimable: spec.MaxReclaimable},
+			Usable: map[string]bool{}, Demand: s.demand(set, spec),
+		}
+		for _, b := range set.BackendServers {
+			if b.Pool == name {
+				p.Servers = append(p.Servers, planner.Server{Name: b.Name, Place: place(b.Zone, b.Reclaimable), Draining: b.Leaving, Open: open[b.Name]})
+				p.Usable[b.Zone] = true
+			}
+		}
+		for _, l := range list {
+			if l.Pool == name && l.Starting {
+				p.Servers = append(p.Servers, planner.Server{Name: l.Name, Place: place(l.Zone, l.Reclaimable), Starting: true})
+				p.Usable[l.Zone] = true
+			}
+		}
+		for zone := range p.Usable {
+			p.Zones = append(p.Zones, zone)
+		}
+		sort.Strings(p.Zones)
+		sort.Slice(p.Servers, func(i, j int) bool { return p.Servers[i].Name < p.Servers[j].Name })
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, j int) bool { return strings.Compare(out[i].Name, out[j].Name) < 0 })
+	return out
+}
+
+func place(zone string, reclaimable bool) sizing.Place {
+	if reclaimable {
+		return sizing.Place{Zone: zone, Kind: sizing.Reclaimable}
+	}
+	return sizing.Place{Zone: zone, Kind: sizing.Regular}
+}
+
+// demand returns what is asked of a pool in servers that are busy to the full.
+func (s *Stock) demand(set *object.Set, spec *object.PoolSpec) sizing.Demand {
+	var d sizing.Demand
+	for class, n := range s.load.Requests(spec.Name) {
+		servers := float64(n) / float64(max(1, spec.Concurrency))
+		if c, ok := set.Classes[class]; ok && c.Reclaimable {
+			d.Flexible += servers
+		} else {
+			d.Firm += servers
+		}
+	}
+	return d
+}
--- a/internal/catalog/object/object.go
+++ b/internal/catalog/object/object.go
@@ -142,6 +142,10 @@
 	ChecksFence bool `json:",omitempty"`
 	// Speed relates the server to its pool's usual one. Zero means 1.
 	Speed float64 `json:",omitempty"`
+	// Leaving servers get no new work; they are drained before they are stopped.
+	Leaving bool `json:",omitempty"`
+	// Ordered servers were started by the system and leave the configuration when they are gone.
+	Ordered bool `json:",omitempty"`
 }
 
 // LimitSpec bounds what an organisation may use over all hosts.
--- a/internal/catalog/release/publish.go
+++ b/internal/catalog/release/publish.go
@@ -136,3 +136,53 @@
 	}
 	return nil
 }
+
+// maxRaces bounds how often [Amend] makes its change again on a newer release.
+const maxRaces = 10
+
+// ErrNoRelease is returned where a release is needed and none is published yet.
+var ErrNoRelease = errors.New("no release is published yet; run 'shallotramp publish FILE'")
+
+// Load reads release number, or the one in force for 0.
+func Load(ctx context.Context, st store.Store, number uint64) (Entry, *object.Set, error) {
+	head, _, err := ReadHead(ctx, st)
+	if err != nil {
+		return Entry{}, nil, err
+	}
+	if head.Number == 0 {
+		return Entry{}, nil, ErrNoRelease
+	}
+	for _, e := range append([]Entry{head.Entry}, head.History...) {
+		if number != 0 && e.Number != number {
+			continue
+		}
+		content, err := ReadChunks(ctx, st, e.Chunks, nil)
+		if err != nil {
+			return Entry{}, nil, err
+		}
+		set, err := Join(e.Chunks, content)
+		return e, set, err
+	}
+	return Entry{}, nil, errors.Newf("release %d is unknown or too old; see 'shallotramp history'", number)
+}
+
+// Amend publishes the release in force with a change. When another publication comes between, the
+// change is made again on the newer release. A change that returns false publishes nothing.
+func Amend(ctx context.Context, st store.Store, who, note string, change func(*object.Set) (bool, error)) (Entry, error) {
+	for range maxRaces {
+		base, set, err := Load(ctx, st, 0)
+		if err != nil {
+			return Entry{}, err
+		}
+		changed, err := change(set)
+		if err != nil || !changed {
+			return base, err
+		}
+		e, err := Publish(ctx, st, Change{Base: base.Number, Set: set, Author: who, Note: note}, time.Now().UTC())
+		var race *RaceError
+		if !errors.As(err, &race) {
+			return e, err
+		}
+	}
+	return Entry{}, errors.Newf("%d other publications came first; nothing was published: try again", maxRaces)
+}
--- a/internal/command/cli/key.go
+++ b/internal/command/cli/key.go
@@ -11,9 +11,6 @@
 	"shallotramp/internal/catalog/release"
 )
 
-// maxRaces bounds how often a command repeats its change on a newer release.
-const maxRaces = 10
-
 // KeyCommand grants and withdraws keys.
 type KeyCommand struct {
 	Grant    KeyGrantCommand    `cmd:"" help:"Publish a new key for an organisation and print it once."`
@@ -91,27 +88,12 @@
 	return c.wait(g, &c.PlatformFlags, e)
 }
 
-// amend publishes the release in force with a change. When another publication comes
-// between, the change is made again on the newer release.
+// amend publishes the release in force with a change.
 func amend(g *Globals, f *PlatformFlags, who, note string, change func(*object.Set) error) (release.Entry, error) {
 	ctx, cancel, st, err := f.open(g)
 	if err != nil {
 		return release.Entry{}, err
 	}
 	defer cancel()
-	for range maxRaces {
-		base, set, err := loadRelease(ctx, st, 0)
-		if err != nil {
-			return release.Entry{}, err
-		}
-		if err := change(set); err != nil {
-			return release.Entry{}, err
-		}
-		e, err := release.Publish(ctx, st, release.Change{Base: base.Number, Set: set, Author: who, Note: note}, time.Now().UTC())
-		var race *release.RaceError
-		if !errors.As(err, &race) {
-			return e, err
-		}
-	}
-	return release.Entry{}, errors.Newf("%d other publications came first; nothing was published: try again", maxRaces)
+	return release.Amend(ctx, st, who, note, func(s *object.Set) (bool, error) { return true, change(s) })
 }
--- a/internal/command/cli/read.go
+++ b/internal/command/cli/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
 	"sort"
@@ -14,35 +13,8 @@
 
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
-	"shallotramp/internal/platform/store"
 )
 
-// errNoRelease is returned where a command needs a release and there is none.
-var errNoRelease = errors.New("no release is published yet; run 'shallotramp publish FILE'")
-
-// loadRelease reads release number, or the one in force for 0.
-func loadRelease(ctx context.Context, st store.Store, number uint64) (release.Entry, *object.Set, error) {
-	head, _, err := release.ReadHead(ctx, st)
-	if err != nil {
-		return release.Entry{}, nil, err
-	}
-	if head.Number == 0 {
-		return release.Entry{}, nil, errNoRelease
-	}
-	for _, e := range append([]release.Entry{head.Entry}, head.History...) {
-		if number != 0 && e.Number != number {
-			continue
-		}
-		content, err := release.ReadChunks(ctx, st, e.Chunks, nil)
-		if err != nil {
-			return release.Entry{}, nil, err
-		}
-		set, err := release.Join(e.Chunks, content)
-		return e, set, err
-	}
-	return release.Entry{}, nil, errors.Newf("release %d is unknown or too old; see 'shallotramp history'", number)
-}
-
 // GetCommand prints objects of a release.
 type GetCommand struct {
 	PlatformFlags
@@ -58,7 +30,7 @@
 		return err
 	}
 	defer cancel()
-	e, set, err := loadRelease(ctx, st, c.Release)
+	e, set, err := release.Load(ctx, st, c.Release)
 	if err != nil {
 		return err
 	}
@@ -108,7 +80,7 @@
 		return err
 	}
 	if head.Number == 0 {
-		return errNoRelease
+		return release.ErrNoRelease
 	}
 	list := append([]release.Entry{head.Entry}, head.History...)
 	if g.isJSON() {
@@ -145,7 +117,7 @@
 		return err
 	}
 	defer cancel()
-	_, from, err := loadRelease(ctx, st, c.From)
+	_, from, err := release.Load(ctx, st, c.From)
 	if err != nil {
 		return err
 	}
@@ -153,7 +125,7 @@
 	if len(c.Files) > 0 {
 		to, err = readFiles(c.Files)
 	} else {
-		_, to, err = loadRelease(ctx, st, c.To)
+		_, to, err = release.Load(ctx, st, c.To)
 	}
 	if err != nil {
 		return err
--- a/internal/command/cli/serve.go
+++ b/internal/command/cli/serve.go
@@ -30,6 +30,7 @@
 	FleetSeeds     []netip.AddrPort `help:"Hosts to ask for others when the platform's list cannot be read." env:"SHALLOTRAMP_FLEET_SEEDS"`
 
 	Reports     string        `help:"Base URL of the platform's interface for usage reports; without it windows are kept and not reported." env:"SHALLOTRAMP_REPORTS"`
+	Ordering    string        `help:"Base URL of the platform's interface that starts and stops backend servers; without it pools stay as configured." env:"SHALLOTRAMP_ORDERING"`
 	UsageWindow time.Duration `help:"Length of a usage window; the same on all hosts." default:"1h" env:"SHALLOTRAMP_USAGE_WINDOW"`
 	UsageGrace  time.Duration `help:"Time from a window's end to its freeze." default:"2m" env:"SHALLOTRAMP_USAGE_GRACE"`
 
@@ -68,8 +69,9 @@
 	h, err := host.New(host.Config{
 		Name: name, Zone: c.Zone, Callers: c.Callers, Operators: c.Operators,
 		DrainDelay: c.DrainDelay, DrainTimeout: c.DrainTimeout,
-		Limits: gateway.Limits{BodyBytes: c.BodyLimit, HeaderBytes: c.HeaderLimit, ReadTime: c.ReadTimeout, WriteStall: c.WriteTimeout},
-		Usage:  host.Usage{Reports: c.Reports, Window: c.UsageWindow, Grace: c.UsageGrace},
+		Limits:   gateway.Limits{BodyBytes: c.BodyLimit, HeaderBytes: c.HeaderLimit, ReadTime: c.ReadTimeout, WriteStall: c.WriteTimeout},
+		Ordering: c.Ordering,
+		Usage:    host.Usage{Reports: c.Reports, Window: c.UsageWindow, Grace: c.UsageGrace},
 		Fleet: host.Fleet{
 			Listen: c.FleetListen, Advertise: c.FleetAdvertise, CertFile: c.FleetCert, KeyFile: c.FleetKey, CAFile: c.FleetCA, Seeds: c.FleetSeeds,
 		},
--- a/internal/command/cli/status.go
+++ b/internal/command/cli/status.go
@@ -93,14 +93,14 @@
 
 // verdict works out where the newest release stands.
 func verdict(ctx context.Context, st store.Store, now time.Time) (acceptance.Verdict, error) {
-	head, set, err := loadRelease(ctx, st, 0)
+	head, set, err := release.Load(ctx, st, 0)
 	if err != nil {
 		return acceptance.Verdict{}, err
 	}
 	in := acceptance.Input{Release: head.Number, Committed: head.Time, Grace: longestGrace(set), Hosts: map[string][]string{}}
 	if head.Number > 1 {
 		// Hosts that do not have the newest release keep to the graces of the one before.
-		if _, before, err := loadRelease(ctx, st, head.Number-1); err == nil {
+		if _, before, err := release.Load(ctx, st, head.Number-1); err == nil {
 			in.Grace = max(in.Grace, longestGrace(before))
 		}
 	}
--- a/internal/entry/host/fleet.go
+++ b/internal/entry/host/fleet.go
@@ -92,7 +92,7 @@
 			Name: h.cfg.Name, Zone: h.cfg.Zone, Address: address, Incarnation: uint64(time.Now().UnixNano()),
 		},
 		Seeds: h.cfg.Fleet.Seeds, Listener: ln, Source: src, Store: st, Holder: h.holder, Adopted: h.adopted,
-		Relay: role, Campaign: role.campaign, Decisions: h.loop, Log: h.log, Events: h.events, Metrics: h.metrics,
+		Relay: role, Campaign: role.campaign, Decisions: h.tally, Log: h.log, Events: h.events, Metrics: h.metrics,
 	})
 	return nil
 }
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -15,6 +15,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"shallotramp/internal/capacity/controller"
+	"shallotramp/internal/capacity/planner"
+	"shallotramp/internal/capacity/stock"
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/engine/load"
 	"shallotramp/internal/entry/console"
@@ -45,6 +48,9 @@
 	Limits       gateway.Limits
 	Fleet        Fleet
 	Usage        Usage
+	// Ordering is the base URL of the platform's interface that starts and stops backend servers; empty
+	// leaves pools as they are configured.
+	Ordering string
 }
 
 // usageCloseTimeout bounds the writing of usage at a planned stop.
@@ -77,6 +83,11 @@
 	claims *claim.Book
 	poller *load.Poller
 	ledger *ledger.Ledger
+	// tally sums up what all hosts tell of pools.
+	tally *stock.Tally
+	// controller and planner are nil where no orders are given.
+	controller *controller.Controller
+	planner    *planner.Planner
 	// reporter is nil where usage is not reported.
 	reporter *reporter.Reporter
 }
@@ -89,6 +100,7 @@
 		events: event.New(eventsKept), claims: claim.NewBook(st, cfg.Name),
 	}
 	h.loop = dispatch.NewLoop(scheduler.New(rand.Uint64(), scheduler.WithZone(cfg.Zone)), dispatch.WithObserver(h.observe))
+	h.tally = stock.NewTally(cfg.Name, h.loop)
 	h.leases = lease.NewManager(st, cfg.Name)
 	if err := h.listen(); err != nil {
 		return nil, err
@@ -100,6 +112,7 @@
 	}
 	h.preparePoller()
 	h.prepareUsage()
+	h.prepareOrders()
 	h.gateway = gateway.New(cfg.Zone, h.holder, h.loop, gateway.WithLog(log), gateway.WithMetrics(h.metrics),
 		gateway.WithBook(h.book), gateway.WithCounter(h.meter), gateway.WithLimits(cfg.Limits),
 		gateway.WithClaims(h.claims), gateway.WithAccounts(h.openAccount))
@@ -177,6 +190,9 @@
 	if h.reporter != nil {
 		out = append(out, h.reporter.Run)
 	}
+	if h.planner != nil {
+		out = append(out, h.controller.Run, h.planner.Run)
+	}
 	return out
 }
 
--- a/internal/entry/host/roles.go
+++ b/internal/entry/host/roles.go
@@ -4,9 +4,14 @@
 	"net/http"
 	"net/netip"
 	"sort"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"shallotramp/internal/capacity/controller"
+	"shallotramp/internal/capacity/planner"
+	"shallotramp/internal/capacity/sizing"
+	"shallotramp/internal/capacity/stock"
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/engine/load"
 	"shallotramp/internal/entry/gateway"
@@ -14,6 +19,8 @@
 	"shallotramp/internal/fleet/lease"
 	"shallotramp/internal/fleet/member"
 	"shallotramp/internal/fleet/relay"
+	"shallotramp/internal/ops/event"
+	"shallotramp/internal/platform/ordering"
 	"shallotramp/internal/platform/report"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/usage/ledger"
@@ -68,6 +75,56 @@
 	h.poller.SetShare(s.polls)
 }
 
+// orderRole is the lease under which one host gives orders.
+const orderRole = "orders"
+
+// loadInterval and loadBurst bound orders that draw on the weight store.
+const (
+	loadInterval = 10 * time.Second
+	loadBurst    = 4
+)
+
+// prepareOrders creates the host's candidate for giving orders and sizing pools.
+func (h *Host) prepareOrders() {
+	if h.cfg.Ordering == "" || h.node == nil {
+		// Without links a host does not know what is asked of the others.
+		return
+	}
+	role := h.leases.Campaign(orderRole)
+	client := ordering.NewClient(h.receiverAddress)
+	h.controller = controller.New(h.cfg.Name+"-"+h.ledger.Incarnation(), h.store, role, client, h.checksFence,
+		controller.WithLog(h.log), controller.WithLoadLimit(loadInterval, loadBurst), controller.WithObserver(h.ordered))
+	hands := stock.New(h.store, client, h.cfg.Ordering, h.controller, h.tally)
+	held := func(now time.Time) bool {
+		_, ok := role.Held(now)
+		return ok
+	}
+	h.planner = planner.New(sizing.DefaultSettings(), hands, hands, held, h.log)
+}
+
+// receiverAddress returns where orders for a receiver go: the ordering interface for a zone, else the server itself.
+func (h *Host) receiverAddress(receiver string) (string, bool) {
+	if a, ok := h.serverAddress(receiver); ok {
+		return "http://" + a.String(), true
+	}
+	return strings.TrimSuffix(h.cfg.Ordering, "/"), h.cfg.Ordering != ""
+}
+
+// checksFence reports whether a receiver refuses old fencing numbers, as operators say.
+func (h *Host) checksFence(receiver string) bool {
+	snap := h.holder.Current()
+	if snap == nil {
+		return false
+	}
+	b, ok := snap.Set.BackendServers[receiver]
+	return ok && b.ChecksFence
+}
+
+// ordered keeps the steps of orders for operators.
+func (h *Host) ordered(c controller.Change) {
+	h.events.Add(event.Order, "order/"+c.Receiver, c.Intent.Order.Action.String()+" "+c.Intent.Name+": "+c.From.String()+" to "+c.To.String())
+}
+
 // share divides the servers to be polled among live hosts: those of a server's zone, or all where its zone has none.
 type share struct {
 	h      *Host
--- a/internal/platform/fake/ordering.go
+++ b/internal/platform/fake/ordering.go
@@ -112,20 +112,30 @@
 // Handler serves r over HTTP.
 func (r *Receiver) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT "+ordering.PathPrefix+"{name}", r.servePut)
+	serveOrders(mux, r, r)
+	return mux
+}
+
+// sender carries an order out.
+type sender interface {
+	Send(ctx context.Context, in order.Intent) (order.Result, string)
+}
+
+// serveOrders serves orders that s carries out and r records.
+func serveOrders(mux *http.ServeMux, s sender, r *Receiver) {
+	mux.HandleFunc("PUT "+ordering.PathPrefix+"{name}", func(w http.ResponseWriter, q *http.Request) { servePut(w, q, s) })
 	mux.HandleFunc("GET "+ordering.PathPrefix+"{name}", r.serveGet)
 	mux.HandleFunc("GET /orders", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, r.All()) })
-	return mux
 }
 
-func (r *Receiver) servePut(w http.ResponseWriter, q *http.Request) {
+func servePut(w http.ResponseWriter, q *http.Request, s sender) {
 	in := order.Intent{Name: q.PathValue("name"), Holder: q.Header.Get(ordering.HolderHeader)}
 	in.Fence, _ = strconv.ParseUint(q.Header.Get(ordering.FenceHeader), 10, 64)
 	if err := json.NewDecoder(q.Body).Decode(&in.Order); err != nil {
 		http.Error(w, "the body is no order", http.StatusBadRequest)
 		return
 	}
-	result, detail := r.Send(q.Context(), in)
+	result, detail := s.Send(q.Context(), in)
 	http.Error(w, detail, orderStatus[result])
 }
 
--- a/internal/platform/ordering/ordering.go
+++ b/internal/platform/ordering/ordering.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
@@ -29,6 +30,42 @@
 // PathPrefix is where orders are put, by their names.
 const PathPrefix = "/orders/"
 
+// ServersPath is where the ordering interface lists the backend servers that it runs or starts.
+const ServersPath = "/servers"
+
+// maxListBytes bounds the list of servers.
+const maxListBytes = 4 << 20
+
+// Server is one backend server that the platform runs, or starts.
+type Server struct {
+	Name        string
+	Pool        string
+	Zone        string
+	Address     netip.AddrPort
+	Price       float64
+	Reclaimable bool
+	// Starting servers take no work yet.
+	Starting bool
+}
+
+// List returns the servers of the ordering interface at base.
+func (c *Client) List(ctx context.Context, base string) ([]Server, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(base, "/")+ServersPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("the ordering interface answered with status %d to the list of servers; retry", res.StatusCode)
+	}
+	var out []Server
+	return out, json.NewDecoder(io.LimitReader(res.Body, maxListBytes)).Decode(&out)
+}
+
 // maxDetailBytes bounds what is kept of an answer.
 const maxDetailBytes = 4 << 10
 
--- a/internal/traffic/balance/server.go
+++ b/internal/traffic/balance/server.go
@@ -219,7 +219,7 @@
 
 // available reports whether the server may get any work now.
 func (v *server) available(now time.Time) bool {
-	return !v.removed && !v.gone && !v.leaving && !v.leavingLoad && !(v.ejected && now.Before(v.ejectedUntil))
+	return !v.removed && !v.spec.Leaving && !v.gone && !v.leaving && !v.leavingLoad && !(v.ejected && now.Before(v.ejectedUntil))
 }
 
 // room returns how much room the server has for one more attempt of this host.
--- a/internal/trial/demo/demo.go
+++ b/internal/trial/demo/demo.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,7 @@
 	"shallotramp/internal/entry/host"
 	"shallotramp/internal/fleet/link/testcert"
 	platformfake "shallotramp/internal/platform/fake"
+	"shallotramp/internal/platform/ordering"
 	"shallotramp/internal/platform/store"
 )
 
@@ -61,7 +63,11 @@
 	set      *object.Set
 	platform *platformfake.Store
 	// reports is the platform's receiver of usage reports, at the same address.
-	reports  *platformfake.Reports
+	reports *platformfake.Reports
+	// yard starts and stops engines as they are ordered.
+	yard *platformfake.Yard
+	// mu guards what ordered engines add to while the demo runs.
+	mu       sync.Mutex
 	engines  map[string]*enginefake.Engine
 	services map[string]*enginefake.Service
 	hosts    []*host.Host
@@ -98,6 +104,9 @@
 	platform := http.NewServeMux()
 	platform.Handle("/", d.platform.Handler())
 	platform.Handle("/usage/", d.reports.Handler())
+	d.yard = platformfake.NewYard(d.runOrdered)
+	platform.Handle(ordering.PathPrefix, d.yard.Handler())
+	platform.Handle(ordering.ServersPath, d.yard.Handler())
 	url, err := d.serve(platform)
 	if err != nil {
 		return err
@@ -136,6 +145,12 @@
 	if err != nil {
 		return "", errors.Wrap(err, "free the address or choose another with --listen")
 	}
+	d.run(h, ln)
+	return "http://" + ln.Addr().String(), nil
+}
+
+// run serves h on ln until the demo stops.
+func (d *Demo) run(h http.Handler, ln net.Listener) {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
 	d.servers = append(d.servers, s)
 	go func() {
@@ -143,7 +158,6 @@
 			d.log.Error().Err(err).Msg("a stand-in stopped")
 		}
 	}()
-	return "http://" + ln.Addr().String(), nil
 }
 
 // fillObjects reads the sample objects and gives them keys and the addresses of their stand-ins.
@@ -164,6 +178,7 @@
 		}
 		d.Addresses.StandIns[b.Name] = url
 		b.Address = netip.MustParseAddrPort(url[len("http://"):])
+		d.yard.Put(ordering.Server{Name: b.Name, Pool: b.Pool, Zone: b.Zone, Address: b.Address, Price: b.Price, Reclaimable: b.Reclaimable})
 	}
 	return nil
 }
@@ -175,13 +190,31 @@
 		d.services[b.Name] = s
 		return s
 	}
-	e := enginefake.NewEngine(enginefake.Config{
-		Name: b.Name, Models: pool.Models, Slots: engineSlots, TokenInterval: tokenInterval, PrefillToken: prefillToken,
-	})
+	e := newEngine(b.Name, pool)
 	d.engines[b.Name] = e
 	return e
 }
 
+// runOrdered starts an engine that the ordering interface was asked for.
+func (d *Demo) runOrdered(name, pool string) (netip.AddrPort, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := newEngine(name, d.set.Pools[pool])
+	ln, err := net.Listen("tcp", netip.AddrPortFrom(d.next.Addr(), 0).String())
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	d.engines[name] = e
+	d.run(e, ln)
+	return netip.ParseAddrPort(ln.Addr().String())
+}
+
+func newEngine(name string, pool *object.PoolSpec) *enginefake.Engine {
+	return enginefake.NewEngine(enginefake.Config{
+		Name: name, Models: pool.Models, Slots: engineSlots, TokenInterval: tokenInterval, PrefillToken: prefillToken,
+	})
+}
+
 func (d *Demo) startHost(ctx context.Context, i int, zone string, callers netip.AddrPort) error {
 	certificate, err := d.authority.Host(hostName(i))
 	if err != nil {
@@ -190,8 +223,9 @@
 	h, err := host.New(host.Config{
 		Name: hostName(i), Zone: zone, Callers: callers, Operators: d.address(),
 		DrainDelay: drainDelay, DrainTimeout: drainTimeout,
-		Usage: host.Usage{Reports: d.Addresses.Platform, Window: usageWindow, Grace: usageGrace},
-		Fleet: host.Fleet{Listen: d.address(), Material: certificate},
+		Ordering: d.Addresses.Platform,
+		Usage:    host.Usage{Reports: d.Addresses.Platform, Window: usageWindow, Grace: usageGrace},
+		Fleet:    host.Fleet{Listen: d.address(), Material: certificate},
 	}, store.NewClient(d.Addresses.Platform), d.log.With().Str("Host", hostName(i)).Logger())
 	if err != nil {
 		return err
@@ -234,6 +268,8 @@
 		err = errors.CombineErrors(err, <-d.ended)
 	}
 	d.hosts = nil
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
--- a/internal/trial/demo/run.go
+++ b/internal/trial/demo/run.go
@@ -112,6 +112,8 @@
 		delivered += a.Tokens
 		owner[a.RequestID] = a.Organisation
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	counted := map[string]meter.Use{}
 	for _, e := range d.engines {
 		for id, c := range e.Counts() {
