--- a/cmd/shallotramp/process_test.go
+++ b/cmd/shallotramp/process_test.go
@@ -96,29 +96,19 @@
 	d.service = d.start("standin", "service")
 	file := filepath.Join(t.TempDir(), "objects.yaml")
 	host := func(p *process) string { return strings.TrimPrefix(p.url, "http://") }
-	text := fmt.Sprintf(`
-{Kind: Organisation, Name: a}
----
-{Kind: Key, Name: a, Organisation: a, Digest: %s}
----
-{Kind: Class, Name: c, Tier: 1, Deadline: 30s}
----
-{Kind: Route, Name: m, Model: m, Pool: engines, Classes: [c], Idempotent: true}
----
-{Kind: Class, Name: booking, Tier: 2, Deadline: 4s}
----
-{Kind: Route, Name: book, Path: /book/, Pool: services, Classes: [booking]}
----
-{Kind: Pool, Name: engines, Protocol: Engine, Models: [m], Concurrency: 8}
----
-{Kind: Pool, Name: services, Protocol: Service, Concurrency: 8}
----
-{Kind: BackendServer, Name: e1, Pool: engines, Zone: z, Address: "%s"}
----
-{Kind: BackendServer, Name: e2, Pool: engines, Zone: z, Address: "%s"}
----
-{Kind: BackendServer, Name: s1, Pool: services, Zone: z, Address: "%s"}
-`, object.DigestOf(processSecret), host(d.engines[0]), host(d.engines[1]), host(d.service))
+	text := fmt.Sprintf(strings.Join([]string{
+		`{Kind: Organisation, Name: a}`,
+		`{Kind: Key, Name: a, Organisation: a, Digest: %s}`,
+		`{Kind: Class, Name: c, Tier: 1, Deadline: 30s}`,
+		`{Kind: Route, Name: m, Model: m, Pool: engines, Classes: [c], Idempotent: true}`,
+		`{Kind: Class, Name: booking, Tier: 2, Deadline: 4s}`,
+		`{Kind: Route, Name: book, Path: /book/, Pool: services, Classes: [booking]}`,
+		`{Kind: Pool, Name: engines, Protocol: Engine, Models: [m], Concurrency: 8}`,
+		`{Kind: Pool, Name: services, Protocol: Service, Concurrency: 8}`,
+		`{Kind: BackendServer, Name: e1, Pool: engines, Zone: z, Address: "%s"}`,
+		`{Kind: BackendServer, Name: e2, Pool: engines, Zone: z, Address: "%s"}`,
+		`{Kind: BackendServer, Name: s1, Pool: services, Zone: z, Address: "%s"}`,
+	}, "\n---\n"), object.DigestOf(processSecret), host(d.engines[0]), host(d.engines[1]), host(d.service))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -153,6 +143,17 @@
 	return res.StatusCode
 }
 
+// get returns the body at url, empty when nothing answers.
+func (d *deployment) get(url string) string {
+	res, err := http.Get(url)
+	if err != nil {
+		return ""
+	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	return string(b)
+}
+
 func (d *deployment) faults(p *process, text string) {
 	d.t.Helper()
 	req, _ := http.NewRequest(http.MethodPut, p.url+"/faults", strings.NewReader(text))
@@ -187,13 +188,8 @@
 }
 
 func (d *deployment) runs() map[string]int {
-	res, err := http.Get(d.service.url + "/runs")
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	defer res.Body.Close()
 	out := map[string]int{}
-	if err := json.NewDecoder(res.Body).Decode(&out); err != nil {
+	if err := json.Unmarshal([]byte(d.get(d.service.url+"/runs")), &out); err != nil {
 		d.t.Fatal(err)
 	}
 	return out
@@ -210,15 +206,7 @@
 			d := newDeployment(t)
 			d.faults(d.service, `{"Delay":500000000}`)
 			go d.post(d.hosts[0], "/book/x", `{"Slot":1}`, "key-1")
-			d.eventually("the service got the booking", func() bool {
-				res, err := http.Get(d.service.url + "/seen")
-				if err != nil {
-					return false
-				}
-				defer res.Body.Close()
-				b, _ := io.ReadAll(res.Body)
-				return strings.Contains(string(b), "key-1")
-			})
+			d.eventually("the service got the booking", func() bool { return strings.Contains(d.get(d.service.url+"/seen"), "key-1") })
 			fail(t, d.hosts[0])
 			for range 3 {
 				code, body := d.post(d.hosts[1], "/book/x", `{"Slot":1}`, "key-1")
@@ -248,13 +236,7 @@
 	var running *process
 	d.eventually("an engine runs the stream", func() bool {
 		for _, e := range d.engines {
-			res, err := http.Get(e.url + "/counts")
-			if err != nil {
-				continue
-			}
-			b, _ := io.ReadAll(res.Body)
-			_ = res.Body.Close()
-			if strings.Contains(string(b), `"Output":1`) {
+			if strings.Contains(d.get(e.url+"/counts"), `"Output":1`) {
 				running = e
 				return true
 			}
@@ -292,15 +274,7 @@
 		_, body := d.post(d.hosts[0], "/v1/chat/completions", `{"model":"m","stream":true,"messages":[{"role":"user","content":"tokens=80"}]}`, "")
 		answer <- body
 	}()
-	d.eventually("the stream is open", func() bool {
-		res, err := http.Get(d.hosts[0].ops + "/status")
-		if err != nil {
-			return false
-		}
-		defer res.Body.Close()
-		b, _ := io.ReadAll(res.Body)
-		return gjson.GetBytes(b, "Open").Int() == 1
-	})
+	d.eventually("the stream is open", func() bool { return gjson.Get(d.get(d.hosts[0].ops+"/status"), "Open").Int() == 1 })
 	d.hosts[0].signal(t, syscall.SIGTERM)
 	if body := <-answer; !strings.HasSuffix(body, "data: [DONE]\n\n") {
 		t.Errorf("the stream was cut: %.300s", body)
--- a/internal/catalog/object/object_test.go
+++ b/internal/catalog/object/object_test.go
@@ -13,21 +13,15 @@
 )
 
 // valid is a small set without findings.
-const valid = `
-{Kind: Organisation, Name: o, Limit: l}
----
-{Kind: Limit, Name: l, Streams: 3}
----
-{Kind: Key, Name: k, Organisation: o, Digest: e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855, Classes: [c]}
----
-{Kind: Class, Name: c, Tier: 1, FirstToken: 790ms}
----
-{Kind: Route, Name: r, Model: m, Pool: p, Classes: [c], Idempotent: true}
----
-{Kind: Pool, Name: p, Protocol: Engine, Models: [m], Concurrency: 8}
----
-{Kind: BackendServer, Name: b, Pool: p, Zone: z, Address: "10.0.0.1:8000"}
-`
+var valid = strings.Join([]string{
+	`{Kind: Organisation, Name: o, Limit: l}`,
+	`{Kind: Limit, Name: l, Streams: 3}`,
+	`{Kind: Key, Name: k, Organisation: o, Digest: e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855, Classes: [c]}`,
+	`{Kind: Class, Name: c, Tier: 1, FirstToken: 790ms}`,
+	`{Kind: Route, Name: r, Model: m, Pool: p, Classes: [c], Idempotent: true}`,
+	`{Kind: Pool, Name: p, Protocol: Engine, Models: [m], Concurrency: 8}`,
+	`{Kind: BackendServer, Name: b, Pool: p, Zone: z, Address: "10.0.0.1:8000"}`,
+}, "\n---\n")
 
 func read(t testing.TB, text string) *object.Set {
 	t.Helper()
--- a/internal/entry/gateway/account_test.go
+++ b/internal/entry/gateway/account_test.go
@@ -1,13 +1,13 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"strings"
 	"testing"
-	"time"
 
 	enginefake "shallotramp/internal/engine/fake"
 	"shallotramp/internal/entry/gateway"
@@ -76,7 +76,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(20 * time.Millisecond)
+	if _, err := bufio.NewReader(res.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
 	cancel()
 	_ = res.Body.Close()
 }
--- a/internal/entry/gateway/claim_test.go
+++ b/internal/entry/gateway/claim_test.go
@@ -64,9 +64,7 @@
 	if other.StatusCode != http.StatusConflict {
 		t.Errorf("the same key with another body got %d", other.StatusCode)
 	}
-	if n := a.service.Runs()["k"]; n != 1 {
-		t.Errorf("ran %d times", n)
-	}
+	a.mustHaveRun(1)
 }
 
 func TestLostAnswerMayHaveRun(t *testing.T) {
@@ -78,9 +76,7 @@
 			t.Errorf("request %d: %d %s", i, res.StatusCode, ran(res))
 		}
 	}
-	if n := a.service.Runs()["k"]; n != 1 {
-		t.Errorf("ran %d times", n)
-	}
+	a.mustHaveRun(1)
 }
 
 func TestRefusedConnectionIsNotRunAndSetsTheKeyFree(t *testing.T) {
@@ -101,11 +97,23 @@
 	}
 	b.set.BackendServers["s"] = somebody
 	b.publish(3)
-	if res, text := b.book("k", "wardrobe"); res.StatusCode != http.StatusCreated {
-		t.Errorf("the resend got %d %s", res.StatusCode, text)
+	b.mustBook("the resend")
+	a.mustHaveRun(1)
+}
+
+// mustHaveRun checks how often the service ran the call with the key "k".
+func (b *bench) mustHaveRun(want int) {
+	b.t.Helper()
+	if n := b.service.Runs()["k"]; n != want {
+		b.t.Errorf("ran %d times, want %d", n, want)
 	}
-	if n := a.service.Runs()["k"]; n != 1 {
-		t.Errorf("ran %d times", n)
+}
+
+// mustBook sends the call with the key "k" and checks that it is answered as run.
+func (b *bench) mustBook(what string) {
+	b.t.Helper()
+	if res, text := b.book("k", "wardrobe"); res.StatusCode != http.StatusCreated {
+		b.t.Errorf("%s got %d %s", what, res.StatusCode, text)
 	}
 }
 
@@ -116,13 +124,9 @@
 	if res.StatusCode != http.StatusServiceUnavailable || ran(res) != "may have run" || res.Header.Get("Retry-After") == "" {
 		t.Errorf("got %d %s", res.StatusCode, ran(res))
 	}
-	if n := a.service.Runs()["k"]; n != 0 {
-		t.Errorf("ran %d times without a claim", n)
-	}
+	a.mustHaveRun(0)
 	st.SetFaults(fake.Faults{LoseAnswers: 3})
-	if res, text := a.book("k", "wardrobe"); res.StatusCode != http.StatusCreated {
-		t.Errorf("after the outage, with lost answers: %d %s", res.StatusCode, text)
-	}
+	a.mustBook("after the outage, with lost answers")
 }
 
 func TestOutcomeIsRecordedWhenTheCallerHasLeft(t *testing.T) {
@@ -136,12 +140,8 @@
 	if _, err := http.DefaultClient.Do(req); err == nil {
 		t.Fatal("the caller did not leave")
 	}
-	if res, text := b.book("k", "wardrobe"); res.StatusCode != http.StatusCreated {
-		t.Errorf("the resend, which waits for the outcome, got %d %s", res.StatusCode, text)
-	}
-	if n := a.service.Runs()["k"]; n != 1 {
-		t.Errorf("ran %d times", n)
-	}
+	b.mustBook("the resend, which waits for the outcome,")
+	a.mustHaveRun(1)
 }
 
 func TestDeadlineOfAResendThatWaits(t *testing.T) {
@@ -178,9 +178,7 @@
 		})
 	}
 	wg.Wait()
-	if n := a.service.Runs()["k"]; n != 1 {
-		t.Errorf("ran %d times", n)
-	}
+	a.mustHaveRun(1)
 }
 
 // closingServer answers the first call of a connection and closes the connection after it has read the
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -368,18 +368,7 @@
 
 func TestHangUpCancelsWork(t *testing.T) {
 	b := newBench(t)
-	ctx, cancel := context.WithCancel(context.Background())
-	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.url+"/v1/chat/completions", strings.NewReader(chat("x tokens=100000", true)))
-	req.Header.Set("Authorization", "Bearer "+secretA)
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer res.Body.Close()
-	if _, err := bufio.NewReader(res.Body).ReadString('\n'); err != nil {
-		t.Fatal(err)
-	}
-	cancel()
+	hangUp(t, b)
 	waitFor(t, func() bool { return b.gateway.Open() == 0 })
 	output := func() int {
 		n := 0
--- a/internal/entry/host/fleet_test.go
+++ b/internal/entry/host/fleet_test.go
@@ -20,33 +20,13 @@
 	"shallotramp/internal/platform/fake"
 )
 
-const sample = `
-Kind: Organisation
-Name: river
----
-Kind: Class
-Name: chat
-Tier: 1
----
-Kind: Pool
-Name: models
-Protocol: Engine
-Models: [m]
-Concurrency: 4
----
-Kind: BackendServer
-Name: engine-1
-Pool: models
-Zone: mid-a
-Address: 127.0.0.1:9
----
-Kind: Route
-Name: m
-Model: m
-Pool: models
-Classes: [chat]
-Idempotent: true
-`
+var sample = strings.Join([]string{
+	`{Kind: Organisation, Name: river}`,
+	`{Kind: Class, Name: chat, Tier: 1}`,
+	`{Kind: Pool, Name: models, Protocol: Engine, Models: [m], Concurrency: 4}`,
+	`{Kind: BackendServer, Name: engine-1, Pool: models, Zone: mid-a, Address: "127.0.0.1:9"}`,
+	`{Kind: Route, Name: m, Model: m, Pool: models, Classes: [chat], Idempotent: true}`,
+}, "\n---\n")
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
