--- a/internal/capacity/stock/stock_test.go
+++ b/internal/capacity/stock/stock_test.go
@@ -21,7 +21,9 @@
 )
 
 // load is what hosts would tell.
-type load struct{ requests atomic.Pointer[map[string]int] }
+type load struct {
+	requests atomic.Pointer[map[string]int]
+}
 
 func (l *load) Requests(string) map[string]int { return *l.requests.Load() }
 func (l *load) Outstanding() map[string]int    { return nil }
