gateway, catalog: one piece of code where logic stood twice

The handlers of models and services, the passing on of a whole answer, the longest grace and sorted names were each written twice or more. Behaviour is as it was: the tests of callers' interface, claims, commands and objects pass unchanged.

--- a/internal/catalog/object/check.go
+++ b/internal/catalog/object/check.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -118,11 +120,7 @@
 
 func (c *checker) keys() {
 	holder := map[string]string{}
-	names := make([]string, 0, len(c.s.Keys))
-	for n := range c.s.Keys {
-		names = append(names, n)
-	}
-	sort.Strings(names)
+	names := slices.Sorted(maps.Keys(c.s.Keys))
 	for _, n := range names {
 		k := c.s.Keys[n]
 		refer(c, Key, n, "Organisation", k.Organisation, Organisation, c.s.Organisations)
@@ -190,11 +188,7 @@
 
 func (c *checker) routes() {
 	taken := map[string]string{}
-	names := make([]string, 0, len(c.s.Routes))
-	for n := range c.s.Routes {
-		names = append(names, n)
-	}
-	sort.Strings(names)
+	names := slices.Sorted(maps.Keys(c.s.Routes))
 	for _, n := range names {
 		r := c.s.Routes[n]
 		c.routeMatch(n, r, taken)
--- a/internal/catalog/object/object.go
+++ b/internal/catalog/object/object.go
@@ -187,6 +187,15 @@
 	}
 }
 
+// LongestGrace returns the longest time for which a host without confirmation serves an organisation's keys.
+func (s *Set) LongestGrace() time.Duration {
+	var out time.Duration
+	for _, o := range s.Organisations {
+		out = max(out, o.CutOffGrace.Or(DefaultCutOffGrace))
+	}
+	return out
+}
+
 // DigestOf returns the digest under which a key is kept.
 func DigestOf(key string) string {
 	sum := sha256.Sum256([]byte(key))
--- a/internal/catalog/object/read.go
+++ b/internal/catalog/object/read.go
@@ -6,7 +6,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 
 	utilyaml "go.yaml.in/yaml/v3"
 	"sigs.k8s.io/yaml"
@@ -203,11 +204,7 @@
 }
 
 func appendDocuments[T any](out []Document, k Kind, m map[string]*T) []Document {
-	names := make([]string, 0, len(m))
-	for n := range m {
-		names = append(names, n)
-	}
-	sort.Strings(names)
+	names := slices.Sorted(maps.Keys(m))
 	for _, n := range names {
 		out = append(out, Document{Kind: k, Name: n, Spec: m[n]})
 	}
--- a/internal/command/cli/status.go
+++ b/internal/command/cli/status.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/entry/console"
 	"shallotramp/internal/fleet/acceptance"
@@ -97,11 +96,11 @@
 	if err != nil {
 		return acceptance.Verdict{}, err
 	}
-	in := acceptance.Input{Release: head.Number, Committed: head.Time, Grace: longestGrace(set), Hosts: map[string][]string{}}
+	in := acceptance.Input{Release: head.Number, Committed: head.Time, Grace: set.LongestGrace(), Hosts: map[string][]string{}}
 	if head.Number > 1 {
 		// Hosts that do not have the newest release keep to the graces of the one before.
 		if _, before, err := release.Load(ctx, st, head.Number-1); err == nil {
-			in.Grace = max(in.Grace, longestGrace(before))
+			in.Grace = max(in.Grace, before.LongestGrace())
 		}
 	}
 	hosts, err := listAs[relay.HostSpec](ctx, st, relay.HostKind)
@@ -117,14 +116,6 @@
 	return acceptance.Judge(now, in), nil
 }
 
-func longestGrace(s *object.Set) time.Duration {
-	var out time.Duration
-	for _, o := range s.Organisations {
-		out = max(out, o.CutOffGrace.Or(object.DefaultCutOffGrace))
-	}
-	return out
-}
-
 // listAs reads all objects of a kind.
 func listAs[T any](ctx context.Context, st store.Store, kind string) ([]T, error) {
 	list, _, err := st.List(ctx, kind)
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -161,6 +161,15 @@
 	res.PromptTokens = int(usage.Get("prompt_tokens").Int())
 	res.OutputTokens = int(usage.Get("completion_tokens").Int())
 	res.CachedTokens = int(usage.Get("prompt_tokens_details.cached_tokens").Int())
+	passOn(c, answer, body, res)
+	if res.Outcome == request.Completed {
+		res.Delivered = res.OutputTokens
+	}
+	return nil
+}
+
+// passOn gives the caller an answer that has come whole.
+func passOn(c *call, answer *http.Response, body []byte, res *request.Result) {
 	res.FirstToken = time.Since(c.req.Arrived)
 	copyHeaders(c.w.Header(), answer.Header)
 	c.w.WriteHeader(answer.StatusCode)
@@ -168,10 +177,7 @@
 	res.Outcome = request.Completed
 	if _, err := c.w.Write(body); err != nil {
 		res.Outcome = request.Cancelled
-		return nil
 	}
-	res.Delivered = res.OutputTokens
-	return nil
 }
 
 // copyHeaders copies the headers of an answer that a caller may see.
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -143,12 +143,13 @@
 // Handler returns the handler of the callers' listener.
 func (g *Gateway) Handler() http.Handler {
 	e := echo.New()
-	e.POST("/v1/chat/completions", g.serveModel)
-	e.POST("/v1/completions", g.serveModel)
-	e.POST("/v1/embeddings", g.serveModel)
+	model := g.handle(g.readModel)
+	e.POST("/v1/chat/completions", model)
+	e.POST("/v1/completions", model)
+	e.POST("/v1/embeddings", model)
 	e.GET("/v1/models", g.serveModels)
 	e.GET("/v1/models/:model", g.serveOneModel)
-	e.Any("/*", g.serveService)
+	e.Any("/*", g.handle(g.readService))
 	e.HTTPErrorHandler = func(err error, c echo.Context) {
 		if !c.Response().Committed {
 			(&Fault{Kind: UnknownTarget, Code: "unknown_path", Message: err.Error(), Remedy: "use a path under /v1/ or the prefix of a route"}).write(c.Response(), newID())
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -33,17 +33,20 @@
 
 var propagator = propagation.TraceContext{}
 
-func (g *Gateway) serveModel(ec echo.Context) error {
-	c, f := g.newCall(ec)
-	if f == nil {
-		f = g.readModel(c)
-	}
-	if f != nil {
-		f.write(ec.Response(), c.req.ID)
+// handle returns the handler of requests whose target read fills in.
+func (g *Gateway) handle(read func(*call) *Fault) echo.HandlerFunc {
+	return func(ec echo.Context) error {
+		c, f := g.newCall(ec)
+		if f == nil {
+			f = read(c)
+		}
+		if f != nil {
+			f.write(ec.Response(), c.req.ID)
+			return nil
+		}
+		g.serve(c)
 		return nil
 	}
-	g.serve(c)
-	return nil
 }
 
 // newCall reads and authenticates a request. The call has an id even with a fault.
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -3,10 +3,8 @@
 import (
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/labstack/echo/v4"
 
 	"shallotramp/internal/traffic/request"
 )
@@ -20,19 +18,6 @@
 // safeMethods change nothing on a service that keeps to HTTP.
 var safeMethods = map[string]bool{http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true}
 
-func (g *Gateway) serveService(ec echo.Context) error {
-	c, f := g.newCall(ec)
-	if f == nil {
-		f = g.readService(c)
-	}
-	if f != nil {
-		f.write(ec.Response(), c.req.ID)
-		return nil
-	}
-	g.serve(c)
-	return nil
-}
-
 // readService fills in what the path and headers of a service request say.
 func (g *Gateway) readService(c *call) *Fault {
 	route, ok := c.snap.PathRoute(c.r.URL.Path)
@@ -69,13 +54,6 @@
 		res.Outcome = request.Broken
 		return nil
 	}
-	res.FirstToken = time.Since(c.req.Arrived)
-	copyHeaders(c.w.Header(), answer.Header)
-	c.w.WriteHeader(answer.StatusCode)
-	c.answer.begun = true
-	res.Outcome = request.Completed
-	if _, err := c.w.Write(body); err != nil {
-		res.Outcome = request.Cancelled
-	}
+	passOn(c, answer, body, res)
 	return nil
 }
--- a/internal/fleet/relay/carry.go
+++ b/internal/fleet/relay/carry.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/fleet/acceptance"
 	"shallotramp/internal/fleet/link"
@@ -105,7 +104,7 @@
 	if n.cfg.Adopted != nil {
 		n.cfg.Adopted(s)
 	}
-	grace := longestGrace(s)
+	grace := s.Set.LongestGrace()
 	n.post(func(now time.Time) []Effect {
 		n.core.SetGrace(grace)
 		return n.core.Local(now, s.Number, n.cfg.Holder.Confirmed())
@@ -123,15 +122,6 @@
 	})
 }
 
-// longestGrace returns the longest CutOffGrace of an organisation.
-func longestGrace(s *release.Snapshot) time.Duration {
-	var out time.Duration
-	for _, o := range s.Set.Organisations {
-		out = max(out, o.CutOffGrace.Or(object.DefaultCutOffGrace))
-	}
-	return out
-}
-
 // writeStatus writes the status over the one that the platform has.
 func (n *Node) writeStatus(ctx context.Context, w WriteStatus) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/trial/workload/plot.go
+++ b/internal/trial/workload/plot.go
@@ -1,7 +1,8 @@
 package workload
 
 import (
-	"sort"
+	"maps"
+	"slices"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -26,11 +27,7 @@
 			byClass[a.Class] = append(byClass[a.Class], plotter.XY{X: a.At.Seconds(), Y: float64(a.First.Microseconds()) / 1000})
 		}
 	}
-	names := make([]string, 0, len(byClass))
-	for n := range byClass {
-		names = append(names, n)
-	}
-	sort.Strings(names)
+	names := slices.Sorted(maps.Keys(byClass))
 	for i, n := range names {
 		s, err := plotter.NewScatter(byClass[n])
 		if err != nil {
--- a/internal/trial/workload/report.go
+++ b/internal/trial/workload/report.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
@@ -123,11 +125,7 @@
 
 func worst(orgs map[string]*OrganisationReport) OrganisationReport {
 	var out OrganisationReport
-	names := make([]string, 0, len(orgs))
-	for n := range orgs {
-		names = append(names, n)
-	}
-	sort.Strings(names)
+	names := slices.Sorted(maps.Keys(orgs))
 	for i, n := range names {
 		o := orgs[n]
 		o.Share = float64(o.Whole) / float64(max(1, o.Offered))
