--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -65,6 +65,7 @@
 	Usage    UsageCommand    `cmd:"" help:"Show usage windows, their states, figures and differences."`
 	Key      KeyCommand      `cmd:"" help:"Grant and withdraw keys."`
 	Explain  ExplainCommand  `cmd:"" help:"Show the decisions taken for one request."`
+	Suspects SuspectsCommand `cmd:"" help:"List and lift the marks of requests that crash backend servers."`
 	Load     LoadCommand     `cmd:"" help:"Offer open-loop traffic from a profile and report the measures."`
 	Demo     DemoCommand     `cmd:"" help:"Run a whole deployment with stand-ins in one process."`
 	Settings SettingsCommand `cmd:"" hidden:"" help:"Write the page of all settings."`
--- a/internal/entry/console/suspects.go
+++ b/internal/entry/console/suspects.go
@@ -16,9 +16,9 @@
 	Lift(fingerprint uint64)
 }
 
-// markEntry is a mark in the form of the operators' interface. The fingerprint is hexadecimal, for
+// MarkEntry is a mark in the form of the operators' interface. The fingerprint is hexadecimal, for
 // readers of JSON lose digits of large numbers.
-type markEntry struct {
+type MarkEntry struct {
 	Fingerprint string
 	Own, Total  int
 	Last        time.Time
@@ -52,9 +52,9 @@
 		http.Error(w, "the host stops; ask another one", http.StatusServiceUnavailable)
 		return
 	}
-	out := make([]markEntry, 0, len(list))
+	out := make([]MarkEntry, 0, len(list))
 	for _, s := range list {
-		out = append(out, markEntry{strconv.FormatUint(s.Fingerprint, 16), s.Own, s.Total, s.Last, s.Verdict.String()})
+		out = append(out, MarkEntry{strconv.FormatUint(s.Fingerprint, 16), s.Own, s.Total, s.Last, s.Verdict.String()})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(out)
--- a/internal/entry/gateway/claim.go
+++ b/internal/entry/gateway/claim.go
@@ -120,7 +120,9 @@
 // that its outcome is recorded for a resend.
 func (g *Gateway) exchangeOnce(ctx context.Context, c *call, b *object.BackendServerSpec, res *request.Result) *Fault {
 	res.Outcome = request.Cancelled
+	_, span := g.tracer.Start(ctx, "claim")
 	answer, err := c.once.ticket.Claim(ctx)
+	span.End()
 	if err != nil {
 		return nil
 	}
--- a/internal/entry/gateway/gateway_test.go
+++ b/internal/entry/gateway/gateway_test.go
@@ -14,8 +14,10 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/rs/zerolog"
 	c "github.com/smartystreets/goconvey/convey"
 	"github.com/tidwall/gjson"
 
@@ -23,8 +25,11 @@
 	"shallotramp/internal/catalog/release"
 	enginefake "shallotramp/internal/engine/fake"
 	"shallotramp/internal/entry/gateway"
+	"shallotramp/internal/ops/explain"
+	"shallotramp/internal/ops/trace"
 	"shallotramp/internal/traffic/baseline"
 	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/request"
 	"shallotramp/internal/usage/meter"
 )
 
@@ -261,9 +266,24 @@
 }
 
 func TestKeysReachNoBackendServer(t *testing.T) {
-	b := newBench(t)
-	b.post("/v1/chat/completions", secretA, chat("x tokens=2", false), "X-Copy", secretA, "Cookie", "k="+secretA, "Api-Key", secretA, "Connection", "X-Hop", "X-Hop", "1")
+	var told bytes.Buffer
+	stop, err := trace.Start(t.Context(), trace.Config{Sample: 1, Writer: &told})
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, book := metrics.NewSet(), explain.NewBook()
+	b := newBench(t, gateway.WithMetrics(set), gateway.WithBook(book), gateway.WithLog(zerolog.New(&told)))
+	res, _ := b.post("/v1/chat/completions", secretA, chat("x tokens=2", false), "X-Copy", secretA, "Cookie", "k="+secretA, "Api-Key", secretA, "Connection", "X-Hop", "X-Hop", "1")
 	b.post("/book/x", secretA, `{}`, "Idempotency-Key", "k1", "X-Kept", "yes")
+	story, ok := book.Find(request.ID(res.Header.Get("X-Request-Id")))
+	set.WritePrometheus(&told)
+	fmt.Fprint(&told, story)
+	if err := stop(t.Context()); err != nil || !ok || !strings.Contains(told.String(), `"Name":"relay"`) && !strings.Contains(told.String(), "backend call") {
+		t.Errorf("no traces or story: %v, %t", err, ok)
+	}
+	if strings.Contains(told.String(), secretA) || strings.Contains(told.String(), "tokens=2") {
+		t.Error("a key or prompt stands in logs, traces, metrics or explanations")
+	}
 	seen := append(b.engines[0].Seen(), b.engines[1].Seen()...)
 	seen = append(seen, b.service.Seen()...)
 	if len(seen) != 2 {
@@ -386,6 +406,23 @@
 	})
 }
 
+// TestSlowReaderCancelsWork leaves a stream unread until the host's write stalls.
+func TestSlowReaderCancelsWork(t *testing.T) {
+	b := newBench(t, gateway.WithLimits(gateway.Limits{WriteStall: 100 * time.Millisecond}))
+	for _, e := range b.engines {
+		e.SetFaults(enginefake.Faults{SlowFactor: 1e-9})
+	}
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	body := chat("x tokens=100000000", true)
+	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", secretA, len(body), body)
+	waitFor(t, func() bool { return b.gateway.Open() == 1 })
+	waitFor(t, func() bool { return b.gateway.Open() == 0 })
+}
+
 func TestCutOffHostRefusesKeyedWorkAfterGrace(t *testing.T) {
 	b := newBench(t)
 	b.set.Organisations["a"].CutOffGrace = object.Duration(time.Nanosecond)
