--- a/internal/command/cli/suspects.go
+++ b/internal/command/cli/suspects.go
@@ -16,7 +16,7 @@
 
 // SuspectsCommand lists and lifts the marks of requests that crash backend servers.
 type SuspectsCommand struct {
-	List SuspectsListCommand `cmd:"" default:"1" help:"List the marks of all named hosts."`
+	List SuspectsListCommand `cmd:"" default:"withargs" help:"List the marks of all named hosts."`
 	Lift SuspectsLiftCommand `cmd:"" help:"Lift a mark on all named hosts, so that the request is tried again."`
 }
 
