--- a/internal/entry/host/drain_test.go
+++ b/internal/entry/host/drain_test.go
@@ -21,8 +21,7 @@
 	"shallotramp/internal/platform/fake"
 )
 
-// startHost runs a host before the given engines, on an open route, until the test or stop ends it. The
-// channel tells how the host ended.
+// startHost runs a host before the engines until the test or stop ends it; done tells how it ended.
 func startHost(t *testing.T, cfg Config, engines map[string]*enginefake.Engine) (h *Host, stop context.CancelFunc, done chan error) {
 	t.Helper()
 	set := object.NewSet()
--- a/internal/traffic/queue/queue_test.go
+++ b/internal/traffic/queue/queue_test.go
@@ -214,3 +214,15 @@
 		t.Errorf("remaining %.0f", r)
 	}
 }
+
+func TestPlacesAreLeftForAPartOfARequestsTime(t *testing.T) {
+	q := newQueue()
+	add(q, "chat", "large", time.Second)
+	c := q.Class("chat")
+	q.Charge(start, "chat", "large", 1000)
+	c.PeerLeast, c.Service = 1, 200*time.Millisecond
+	starts := func(after time.Duration) bool { it, _ := q.Next(start.Add(after), everywhere); return it != nil }
+	if starts(0) || !starts(25*time.Millisecond) {
+		t.Error("a place is not left at once, or for longer than an eighth of a request's time")
+	}
+}
