--- a/cmd/shallotramp/process_test.go
+++ b/cmd/shallotramp/process_test.go
@@ -118,7 +118,7 @@
 	for i := range 2 {
 		d.hosts = append(d.hosts, d.start("serve", "--name", fmt.Sprintf("h%d", i), "--zone", "z", "--platform", d.platform.url,
 			"--callers", "127.0.0.1:0", "--operators", "127.0.0.1:0", "--drain-delay", "100ms"))
-		d.eventually("the host is ready", func() bool { return d.status(d.hosts[i].ops+"/ready") == http.StatusOK })
+		d.eventually("the host is ready", func() bool { return gjson.Get(d.get(d.hosts[i].ops+"/ready"), "Ready").Bool() })
 	}
 	return d
 }
@@ -134,15 +134,6 @@
 	d.t.Fatal("never: ", what)
 }
 
-func (d *deployment) status(url string) int {
-	res, err := http.Get(url)
-	if err != nil {
-		return 0
-	}
-	_ = res.Body.Close()
-	return res.StatusCode
-}
-
 // get returns the body at url, empty when nothing answers.
 func (d *deployment) get(url string) string {
 	res, err := http.Get(url)
@@ -187,6 +178,16 @@
 	return res.StatusCode, string(b)
 }
 
+// stream asks the first host for a stream of tokens and returns where its answer comes.
+func (d *deployment) stream(tokens int) <-chan string {
+	answer := make(chan string, 1)
+	go func() {
+		_, body := d.post(d.hosts[0], "/v1/chat/completions", fmt.Sprintf(`{"model":"m","stream":true,"messages":[{"role":"user","content":"tokens=%d"}]}`, tokens), "")
+		answer <- body
+	}()
+	return answer
+}
+
 func (d *deployment) runs() map[string]int {
 	out := map[string]int{}
 	if err := json.Unmarshal([]byte(d.get(d.service.url+"/runs")), &out); err != nil {
@@ -228,11 +229,7 @@
 // TestStreamSurvivesItsEngine kills the engine that runs a stream.
 func TestStreamSurvivesItsEngine(t *testing.T) {
 	d := newDeployment(t)
-	answer := make(chan string, 1)
-	go func() {
-		_, body := d.post(d.hosts[0], "/v1/chat/completions", `{"model":"m","stream":true,"messages":[{"role":"user","content":"tokens=100"}]}`, "")
-		answer <- body
-	}()
+	answer := d.stream(100)
 	var running *process
 	d.eventually("an engine runs the stream", func() bool {
 		for _, e := range d.engines {
@@ -269,11 +266,7 @@
 // TestPlannedStopOfAProcess stops a host by a signal while it streams.
 func TestPlannedStopOfAProcess(t *testing.T) {
 	d := newDeployment(t)
-	answer := make(chan string, 1)
-	go func() {
-		_, body := d.post(d.hosts[0], "/v1/chat/completions", `{"model":"m","stream":true,"messages":[{"role":"user","content":"tokens=80"}]}`, "")
-		answer <- body
-	}()
+	answer := d.stream(80)
 	d.eventually("the stream is open", func() bool { return gjson.Get(d.get(d.hosts[0].ops+"/status"), "Open").Int() == 1 })
 	d.hosts[0].signal(t, syscall.SIGTERM)
 	if body := <-answer; !strings.HasSuffix(body, "data: [DONE]\n\n") {
--- a/internal/catalog/release/snapshot.go
+++ b/internal/catalog/release/snapshot.go
@@ -1,6 +1,7 @@
 package release
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -97,7 +98,7 @@
 	if k == nil {
 		return false
 	}
-	return len(r.Organisations) == 0 || contains(r.Organisations, k.Organisation)
+	return len(r.Organisations) == 0 || slices.Contains(r.Organisations, k.Organisation)
 }
 
 // ClassFor returns the class for a request: the one asked for when route and key allow it, else the route's default.
@@ -106,7 +107,7 @@
 		if asked != "" && name != asked {
 			continue
 		}
-		if k != nil && len(k.Classes) > 0 && !contains(k.Classes, name) {
+		if k != nil && len(k.Classes) > 0 && !slices.Contains(k.Classes, name) {
 			continue
 		}
 		c, ok := s.Set.Classes[name]
@@ -114,12 +115,3 @@
 	}
 	return nil, false
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -29,7 +29,8 @@
 // attempt runs c once on the server of e. A fault is returned when the answer cannot go on.
 func (g *Gateway) attempt(ctx context.Context, c *call, t *dispatch.Ticket, e dispatch.Effect) (request.Result, *Fault) {
 	res := request.Result{ID: c.req.ID, Server: e.Server, Outcome: request.Unreachable}
-	b, ok := c.snapServer(g, e.Server)
+	// The release in force may be newer than that of the call.
+	b, ok := g.holder.Current().Set.BackendServers[e.Server]
 	if !ok {
 		return res, nil
 	}
@@ -57,12 +58,6 @@
 	return res, fault
 }
 
-// snapServer finds the server in the release in force, which may be newer than that of the call.
-func (c *call) snapServer(g *Gateway, name string) (*object.BackendServerSpec, bool) {
-	b, ok := g.holder.Current().Set.BackendServers[name]
-	return b, ok
-}
-
 // exchange sends c to b and relays the answer. It sets the outcome of res.
 func (g *Gateway) exchange(ctx context.Context, c *call, b *object.BackendServerSpec, res *request.Result) *Fault {
 	if c.once.ticket != nil {
--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -10,7 +10,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
@@ -22,7 +21,6 @@
 	w      http.ResponseWriter
 	r      *http.Request
 	req    *request.Request
-	route  *object.RouteSpec
 	digest string
 	secret string
 	body   []byte
@@ -45,7 +43,7 @@
 	first time.Duration
 	// id is the stream's id, kept when another server resumes it.
 	id string
-	// prompt and cached count input tokens as the first server reported them.
+	// prompt counts input tokens as the first server reported them.
 	prompt int
 	// unresumable answers hold more than the text of one choice.
 	unresumable bool
--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -137,7 +137,6 @@
 	if !ok {
 		return &Fault{Kind: Forbidden, Code: "class_not_allowed", Message: "the key and the route allow no such class", Remedy: "leave the class out or use one of: " + strings.Join(route.Classes, ", ")}
 	}
-	c.route = route
 	c.req.Route, c.req.Pool = route.Name, route.Pool
 	c.req.Adapter, c.req.Version = route.Adapter, route.Version
 	c.req.Class, c.req.Tier = class.Name, class.Tier
--- a/internal/fleet/lease/manager_test.go
+++ b/internal/fleet/lease/manager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,26 +13,22 @@
 	"shallotramp/internal/platform/store"
 )
 
-// host is a running manager.
+// host is a running manager. It ends with the test at the latest.
 type host struct {
 	*lease.Manager
-	stop context.CancelFunc
-	done chan error
+	end func()
 }
 
-func start(st store.Store, name string) *host {
-	h := &host{Manager: lease.NewManager(st, name), done: make(chan error, 1)}
+func start(t *testing.T, st store.Store, name string) *host {
+	h := &host{Manager: lease.NewManager(st, name)}
 	ctx, cancel := context.WithCancel(context.Background())
-	h.stop = cancel
-	go h.Run(ctx, h.done)
+	done := make(chan error, 1)
+	go h.Run(ctx, done)
+	h.end = sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(h.end)
 	return h
 }
 
-func (h *host) end() {
-	h.stop()
-	<-h.done
-}
-
 func holders(leases ...*lease.Lease) int {
 	n := 0
 	for _, l := range leases {
@@ -45,16 +42,15 @@
 func TestPlannedStopHandsOverWithinASecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fake.NewStore()
-		a := start(st, "a")
+		a := start(t, st, "a")
 		la := a.Campaign("usage")
 		time.Sleep(time.Second)
 		first, ok := la.Held(time.Now())
 		if !ok || <-la.Changes() != lease.Held {
 			t.Fatal("a free role was not taken within a second")
 		}
-		b := start(st, "b")
+		b := start(t, st, "b")
 		lb := b.Campaign("usage")
-		defer b.end()
 		time.Sleep(30 * time.Second)
 		if !la.Valid(time.Now()) || lb.Valid(time.Now()) {
 			t.Fatal("the role moved without a reason")
@@ -74,9 +70,7 @@
 func TestResignMovesOneRole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fake.NewStore()
-		a, b := start(st, "a"), start(st, "b")
-		defer a.end()
-		defer b.end()
+		a, b := start(t, st, "a"), start(t, st, "b")
 		la := a.Campaign("orders")
 		time.Sleep(time.Second)
 		lb := b.Campaign("orders")
@@ -101,9 +95,7 @@
 func TestHolderStopsByItselfWhenThePlatformIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fake.NewStore()
-		a, b := start(st, "a"), start(st, "b")
-		defer a.end()
-		defer b.end()
+		a, b := start(t, st, "a"), start(t, st, "b")
 		la, lb := a.Campaign("orders"), b.Campaign("orders")
 		time.Sleep(5 * time.Second)
 		if holders(la, lb) != 1 {
@@ -129,8 +121,7 @@
 		st := fake.NewStore()
 		held := map[int][]*lease.Lease{}
 		for i := range hosts {
-			h := start(st, fmt.Sprint(i))
-			defer h.end()
+			h := start(t, st, fmt.Sprint(i))
 			for r := range roles {
 				held[i] = append(held[i], h.Campaign(fmt.Sprintf("role-%d", r)))
 			}
@@ -153,9 +144,7 @@
 func TestHostsThatAreNotEagerRarelyRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fake.NewStore()
-		a, b := start(st, "a"), start(st, "b")
-		defer a.end()
-		defer b.end()
+		a, b := start(t, st, "a"), start(t, st, "b")
 		a.Campaign("usage")
 		time.Sleep(time.Second)
 		lb := b.Campaign("usage")
@@ -173,7 +162,6 @@
 		}
 		a.end()
 		b.Hint("usage")
-		a.done <- nil
 		time.Sleep(time.Second)
 		if !lb.Valid(time.Now()) {
 			t.Error("a hint did not move the role within a second")
--- a/internal/traffic/balance/choose.go
+++ b/internal/traffic/balance/choose.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"shallotramp/internal/catalog/object"
@@ -56,15 +57,6 @@
 	}
 }
 
-func has(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 // search is one choice under way.
 type search struct {
 	b      *Balancer
@@ -224,7 +216,7 @@
 
 // consider makes v the choice if it has room and costs less.
 func (s *search) consider(v *server) {
-	if v == s.best || has(s.b.exclude.names, v.spec.Name) {
+	if v == s.best || slices.Contains(s.b.exclude.names, v.spec.Name) {
 		return
 	}
 	// What only time has changed was not noted yet.
@@ -278,7 +270,7 @@
 		seconds += priceCost * v.spec.Price / s.p.price
 	}
 	seconds += failureCost * float64(v.failures)
-	if has(s.b.exclude.zones, v.spec.Zone) {
+	if slices.Contains(s.b.exclude.zones, v.spec.Zone) {
 		seconds += sameZoneCost
 	}
 	return seconds
--- a/internal/traffic/balance/server.go
+++ b/internal/traffic/balance/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"shallotramp/internal/catalog/object"
@@ -170,7 +171,7 @@
 // load takes the list of what the server has loaded, and returns whether it changed. A server
 // that tells nothing is taken to have loaded all.
 func (v *server) load(list []string) bool {
-	if equal(list, v.loadedList) {
+	if slices.Equal(list, v.loadedList) {
 		return false
 	}
 	v.loadedList = append([]string(nil), list...)
@@ -184,18 +185,6 @@
 	return true
 }
 
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // outstanding estimates the requests that the server has now.
 func (v *server) outstanding(now time.Time) int {
 	n := v.own + v.others
--- a/internal/traffic/balance/sim_test.go
+++ b/internal/traffic/balance/sim_test.go
@@ -65,7 +65,7 @@
 	for range c.names {
 		s := c.names[c.next%len(c.names)]
 		c.next++
-		if c.running[s] < simSlots && !has(exclude, s) {
+		if c.running[s] < simSlots && !slices.Contains(exclude, s) {
 			return s, "", true
 		}
 	}
--- a/internal/traffic/claim/book_test.go
+++ b/internal/traffic/claim/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,26 +13,22 @@
 	"shallotramp/internal/traffic/request"
 )
 
-// book is a running Book.
+// book is a running Book. It ends with the test at the latest.
 type book struct {
 	*claim.Book
-	stop context.CancelFunc
-	done chan error
+	end func()
 }
 
-func start(st *fake.Store, host string, opts ...claim.Option) *book {
-	b := &book{Book: claim.NewBook(st, host, opts...), done: make(chan error, 1)}
+func start(t *testing.T, st *fake.Store, host string, opts ...claim.Option) *book {
+	b := &book{Book: claim.NewBook(st, host, opts...)}
 	ctx, cancel := context.WithCancel(context.Background())
-	b.stop = cancel
-	go b.Run(ctx, b.done)
+	done := make(chan error, 1)
+	go b.Run(ctx, done)
+	b.end = sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(b.end)
 	return b
 }
 
-func (b *book) end() {
-	b.stop()
-	<-b.done
-}
-
 func arrival(id, key string) claim.Arrival {
 	return claim.Arrival{
 		ID: request.ID(id), Key: claim.KeyOf("org", "bookings", key),
@@ -55,8 +52,7 @@
 func TestPlannedStopRecordsTheOutcomeOfASentCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fake.NewStore()
-		a, b := start(st, "a"), start(st, "b")
-		defer b.end()
+		a, b := start(t, st, "a"), start(t, st, "b")
 		ticket := a.claimed(t, arrival("r1", "k"))
 		time.AfterFunc(2*time.Second, func() {
 			ticket.Finish(claim.Result{Kind: claim.ServerAnswered, Reply: claim.Reply{Status: 201, Body: []byte("ok")}})
@@ -72,8 +68,7 @@
 func TestVanishedHostLeavesATruthfulClaim(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := fake.NewStore()
-		a, b := start(st, "a"), start(st, "b")
-		defer b.end()
+		a, b := start(t, st, "a"), start(t, st, "b")
 		ticket := a.claimed(t, arrival("r1", "k"))
 		time.Sleep(claim.DefaultConfig().SendTerm)
 		if ticket.MaySend(time.Now()) {
@@ -90,8 +85,7 @@
 
 func TestALargeAnswerIsNotKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a := start(fake.NewStore(), "a")
-		defer a.end()
+		a := start(t, fake.NewStore(), "a")
 		ticket := a.claimed(t, arrival("r1", "k"))
 		ticket.Finish(claim.Result{Kind: claim.ServerAnswered, Reply: claim.Reply{Status: 201, Body: make([]byte, 1<<20)}})
 		_, answer := a.Open(context.Background(), arrival("r2", "k"))
--- a/internal/traffic/retry/retry.go
+++ b/internal/traffic/retry/retry.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"shallotramp/internal/catalog/release"
@@ -120,7 +121,7 @@
 	rec.ran = max(rec.ran, ranOf(res))
 	rec.delivered = rec.delivered || res.Delivered > 0
 	// A preempted request may go back to its server: nothing was wrong with it.
-	if res.Outcome != request.Preempted && !contains(rec.tried, res.Server) {
+	if res.Outcome != request.Preempted && !slices.Contains(rec.tried, res.Server) {
 		rec.tried = append(rec.tried, res.Server)
 	}
 	return rec
@@ -164,12 +165,3 @@
 	}
 	return defaultRatio
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/traffic/suspect/crash.go
+++ b/internal/traffic/suspect/crash.go
@@ -1,6 +1,9 @@
 package suspect
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// crashSpan is how long after a crash further broken attempts count to it.
@@ -34,7 +37,7 @@
 		t.servers[r.server] = c
 		t.remember(now, c)
 	}
-	if !has(c.marked, r.fingerprint) {
+	if !slices.Contains(c.marked, r.fingerprint) {
 		c.marked = append(c.marked, r.fingerprint)
 		t.blame(now, r.fingerprint)
 	}
@@ -110,12 +113,3 @@
 		delete(t.marks, fp)
 	}
 }
-
-func has(list []uint64, v uint64) bool {
-	for _, x := range list {
-		if x == v {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/trial/workload/report.go
+++ b/internal/trial/workload/report.go
@@ -21,7 +21,7 @@
 	// Shed counts refusals that say "not run", Failed all other ends.
 	Shed   int
 	Failed int
-	// FirstTokenMillis at the 50th, 95th and 99th percentile of whole answers.
+	// FirstToken and BetweenTokens are milliseconds at a percentile of whole answers.
 	FirstTokenP50, FirstTokenP95, FirstTokenP99 float64
 	BetweenTokensP95                            float64
 }
--- a/internal/trial/workload/run.go
+++ b/internal/trial/workload/run.go
@@ -131,7 +131,7 @@
 // once sends the request to one host and reads the answer.
 func (r *runner) once(ctx context.Context, a arrival, try int, out *Answer) {
 	base := r.o.Targets[(a.number+try)%len(r.o.Targets)]
-	prompt := a.prompt0()
+	prompt := a.text()
 	url, body := base+"/v1/chat/completions", chatBody(a, prompt)
 	if a.source.Path != "" {
 		url, body = base+a.source.Path, []byte(`{"Slot":1}`)
@@ -168,8 +168,8 @@
 	out.Elapsed = time.Since(begun)
 }
 
-// prompt0 returns the prompt's text, which asks the stand-in engines for a number of tokens.
-func (a arrival) prompt0() string {
+// text returns the prompt's text, which asks the stand-in engines for a number of tokens.
+func (a arrival) text() string {
 	return fmt.Sprintf("request %d tokens=%d%s", a.number, a.output, strings.Repeat(" word", max(0, a.prompt-3)))
 }
 
