--- /dev/null
+++ b/internal/capacity/supply/supply.go
@@ -0,0 +1,165 @@
+// Package supply decides how many backend servers of a service to order in each
+// availability zone, regular and reclaimable ones apart. Reclaimable servers
+// carry the load where they are to be had; regular ones stand in while they are
+// not. It does no I/O and reads no clock.
+package supply
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"shallotramp/internal/fleet/backend"
+	"shallotramp/internal/traffic/route"
+)
+
+const (
+	// leastServers is how many servers a zone keeps while nothing is known of its load, and below which it
+	// never falls: one may crash.
+	leastServers = 3
+	// standIn is how many regular servers stand in for a zone whose reclaimable ones are gone.
+	standIn = 1
+	// fullLoad is the share of time in which a server reads prompts or fills its places from which another
+	// is ordered.
+	fullLoad = 0.35
+	// holdFor is how long a higher figure is kept after the load has fallen: longer than a server's boot.
+	holdFor = 10 * time.Second
+	// refusedFor is how long reclaimable servers count as not to be had after an order was refused.
+	refusedFor = 3 * time.Second
+	// repeatAfter is the time after which an order that has not shown its effect is sent again.
+	repeatAfter = 3 * time.Second
+)
+
+// Place is where servers run and at which price.
+type Place struct {
+	Service, Zone string
+	Spot          bool
+}
+
+// Order is the wish for a number of servers at a place.
+type Order struct {
+	Place
+	Count int
+}
+
+// Planner decides for all services of a deployment. Create it with [New].
+type Planner struct {
+	places map[Place]*place
+	peaks  map[[2]string]peak
+	begun  time.Time
+}
+
+type place struct {
+	// wanted was confirmed by the platform; -1 before the first order.
+	wanted  int
+	sent    time.Time
+	refused time.Time
+}
+
+type peak struct {
+	count int
+	at    time.Time
+}
+
+// New returns a Planner that has ordered nothing.
+func New() *Planner {
+	return &Planner{places: map[Place]*place{}, peaks: map[[2]string]peak{}}
+}
+
+// Load is the need of a zone's callers in servers, each busy to the full.
+type Load map[string]float64
+
+// Plan returns the orders to send now for a service.
+func (p *Planner) Plan(now time.Time, s *route.Service, servers []backend.Server, load Load) []Order {
+	if s.Scaling == nil {
+		return nil
+	}
+	var out []Order
+	zones := make([]string, 0, len(s.Scaling.Prices))
+	for z := range s.Scaling.Prices {
+		zones = append(zones, z)
+	}
+	slices.SortFunc(zones, strings.Compare)
+	for _, z := range zones {
+		regular, spot := p.wish(now, s, z, servers, load[z])
+		if s.Scaling.SpotPrice > 0 {
+			out = p.order(now, out, Place{s.Name, z, true}, spot, count(servers, s.Name, z, true))
+		}
+		out = p.order(now, out, Place{s.Name, z, false}, regular, count(servers, s.Name, z, false))
+	}
+	return out
+}
+
+// wish returns the regular and the reclaimable servers that a zone should have.
+func (p *Planner) wish(now time.Time, s *route.Service, zone string, servers []backend.Server, load float64) (regular, spot int) {
+	n := min(max(p.need(now, s.Name, zone, load), s.Scaling.Min), s.Scaling.Max)
+	if s.Scaling.SpotPrice <= 0 {
+		return n, 0
+	}
+	ready := count(servers, s.Name, zone, true)
+	spot = n
+	if ready >= min(n, leastServers) {
+		return 0, spot
+	}
+	// Until reclaimable servers are there, the regular ones stay or stand in.
+	has := count(servers, s.Name, zone, false)
+	regular = min(max(has, standIn), max(n-ready, 0))
+	if regular+spot > s.Scaling.Max {
+		spot = s.Scaling.Max - regular
+	}
+	return regular, spot
+}
+
+// need keeps the highest figure of the last while.
+func (p *Planner) need(now time.Time, service, zone string, load float64) int {
+	n := max(leastServers, int(math.Ceil(load/fullLoad)))
+	key := [2]string{service, zone}
+	if old, ok := p.peaks[key]; ok && old.count > n && now.Sub(old.at) < holdFor {
+		return old.count
+	}
+	p.peaks[key] = peak{n, now}
+	return n
+}
+
+func count(servers []backend.Server, service, zone string, spot bool) int {
+	n := 0
+	for _, s := range servers {
+		if s.Service == service && s.Zone == zone && s.Spot == spot && !s.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// order adds an order that changes something or whose effect has not shown.
+func (p *Planner) order(now time.Time, out []Order, at Place, want, has int) []Order {
+	pl := p.places[at]
+	if pl == nil {
+		pl = &place{wanted: -1}
+		p.places[at] = pl
+	}
+	switch {
+	case now.Sub(pl.refused) < refusedFor:
+		return out
+	case pl.wanted == want && (has >= want || now.Sub(pl.sent) < repeatAfter):
+		return out
+	case pl.wanted < 0 && want == has:
+		// As found: nothing to order.
+		return out
+	}
+	return append(out, Order{at, want})
+}
+
+// Confirmed notes that the platform took an order.
+func (p *Planner) Confirmed(now time.Time, o Order) {
+	p.places[o.Place].wanted, p.places[o.Place].sent = o.Count, now
+}
+
+// Refused notes that there are none to be had.
+func (p *Planner) Refused(now time.Time, o Order) {
+	p.places[o.Place].refused = now
+}
+
+// Reset forgets what was ordered: another host gave the orders since.
+func (p *Planner) Reset() { p.places = map[Place]*place{} }
--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -56,6 +56,7 @@
 	Globals
 
 	Serve    ServeCommand    `cmd:"" help:"Run an entry host."`
+	Edge     EdgeCommand     `cmd:"" help:"Run a host on the users' platform, from its settings file."`
 	Check    CheckCommand    `cmd:"" help:"Check a whole set of objects offline."`
 	Publish  PublishCommand  `cmd:"" help:"Check a whole set of objects and publish it as the next release."`
 	Get      GetCommand      `cmd:"" help:"Print objects of a release, in the form in which they are published."`
--- /dev/null
+++ b/internal/entry/station/station.go
@@ -0,0 +1,226 @@
+// Package station runs a host beside its peers: it follows the platform's store,
+// feeds the policy and the data path, exchanges words with other hosts, and takes
+// its turn at the duties of which one host at a time is in charge.
+package station
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"shallotramp/internal/entry/edge"
+	"shallotramp/internal/fleet/backend"
+	"shallotramp/internal/fleet/clock"
+	"shallotramp/internal/fleet/directory"
+	"shallotramp/internal/fleet/gossip"
+	"shallotramp/internal/fleet/lease"
+	"shallotramp/internal/platform/mirror"
+	"shallotramp/internal/platform/store"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/placement"
+	"shallotramp/internal/traffic/route"
+	"shallotramp/internal/usage/tally"
+)
+
+// Kinds names the objects that are followed in the store.
+type Kinds struct {
+	Table, TableName, Servers string
+}
+
+// Platform is what the host needs of the world outside.
+type Platform struct {
+	Store interface {
+		store.Store
+		mirror.Source
+	}
+	Kinds        Kinds
+	DecodeTable  func(json.RawMessage) (*route.Table, error)
+	DecodeServer func(id string, spec json.RawMessage) (backend.Server, error)
+	Codec        edge.Codec
+	// Duties is nil where the platform gives none.
+	Duties Duties
+	// Refused reports whether an error of Duties says that an order or report is not taken.
+	Refused func(error) bool
+}
+
+// Config describes a host.
+type Config struct {
+	Host, Zone     string
+	IP             netip.Addr
+	Callers, Ready netip.AddrPort
+	Metrics        netip.AddrPort
+	FleetPort      uint16
+	Seeds          []netip.Addr
+	Retry          placement.RetryLimits
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration
+	// Term is that of the lease of the duties.
+	Term time.Duration
+	// UsageWindow is the length of a usage window, reported before UsageDue after its end.
+	UsageWindow, UsageDue time.Duration
+	ReportsUsage, Orders  bool
+}
+
+// Station is one host. Create it with [New].
+type Station struct {
+	cfg      Config
+	platform Platform
+	log      zerolog.Logger
+	id       string
+
+	policy *placement.Policy
+	loop   *dispatch.Loop
+	edge   *edge.Edge
+	fleet  *gossip.Exchange
+	clock  *clock.Clock
+	tally  *tally.Tally
+	leases *lease.Manager
+	duty   *lease.Lease
+	tables *mirror.Mirror
+	list   *mirror.Mirror
+
+	servers  atomic.Pointer[[]backend.Server]
+	listed   atomic.Bool
+	stopping atomic.Bool
+	work     atomic.Pointer[map[string]placement.Work]
+	heardOf  atomic.Int64
+
+	// mu guards what the mirrors and the step share.
+	mu        sync.Mutex
+	directory *directory.Directory
+	storeDown map[string]bool
+}
+
+// New returns a Station. Nothing happens until [Station.Run].
+func New(cfg Config, p Platform, log zerolog.Logger) *Station {
+	s := &Station{
+		cfg: cfg, platform: p, log: log, id: cfg.Host + "/" + uuid.NewString()[:8],
+		clock: clock.New(time.Now(), clock.SinceBoot), directory: directory.New(), storeDown: map[string]bool{},
+	}
+	s.servers.Store(&[]backend.Server{})
+	s.work.Store(&map[string]placement.Work{})
+	if cfg.UsageWindow > 0 {
+		s.tally = tally.New(cfg.UsageWindow, s.id)
+	}
+	s.policy = placement.New(uint64(time.Now().UnixNano()), placement.WithZone(cfg.Zone), placement.WithRetryLimits(cfg.Retry))
+	s.loop = dispatch.NewLoop(s.policy)
+	s.edge = edge.New(cfg.Zone, p.Codec, s.loop, edge.WithLog(log), edge.WithUsage(counter{s}))
+	s.fleet = gossip.New(gossip.Self{Host: s.id, Zone: cfg.Zone, Addr: cfg.IP, Port: cfg.FleetPort, Seeds: cfg.Seeds}, s.fill, s.hear)
+	s.tables = mirror.New(p.Store, p.Kinds.Table, watchWait, relistInterval, s.followTable)
+	s.list = mirror.New(p.Store, p.Kinds.Servers, watchWait, relistInterval, s.followServers)
+	if p.Duties != nil {
+		s.leases = lease.NewManager(p.Store, s.id, lease.WithConfig(leaseConfig(cfg.Term)), lease.WithObserver(s.leaseChanged))
+		s.leases.SetEager(false)
+		s.duty = s.leases.Campaign(dutyRole)
+	}
+	return s
+}
+
+// counter counts usage at true time.
+type counter struct{ s *Station }
+
+// Begin implements [edge.Usage].
+func (c counter) Begin(organisation string) {
+	if c.s.tally != nil {
+		c.s.tally.Begin(organisation, c.s.clock.Now())
+	}
+}
+
+const (
+	// watchWait is how long a watch waits for a change: a connection that fell silent is noticed after it.
+	watchWait = 1500 * time.Millisecond
+	// relistInterval is the time between two whole lists.
+	relistInterval = 20 * time.Second
+	// stepInterval is how often the host looks at its duties and its directory.
+	stepInterval = 250 * time.Millisecond
+	// readHeaderTimeout bounds the head of a caller's request. Callers are slower only when they are cut off.
+	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is how long an idle caller's connection is kept: longer than any configuration lets
+	// callers use one again.
+	idleTimeout = 3 * time.Minute
+)
+
+// Run serves until ctx ends, then stops in order: readiness off, open requests answered, duties given up.
+func (s *Station) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	done := make(chan error, 16)
+	n := 0
+	start := func(f func(context.Context, chan<- error)) {
+		n++
+		go f(work, done)
+	}
+	start(s.loop.Run)
+	start(s.tables.Run)
+	start(s.list.Run)
+	start(s.fleet.Run)
+	start(s.step)
+	if s.leases != nil {
+		start(s.leases.Run)
+	}
+	callers, err := s.listen(s.cfg.Callers, s.edge)
+	if err != nil {
+		return err
+	}
+	ready, err := s.listen(s.cfg.Ready, http.HandlerFunc(s.serveReady))
+	if err != nil {
+		return err
+	}
+	metrics, err := s.listen(s.cfg.Metrics, http.HandlerFunc(s.serveMetrics))
+	if err != nil {
+		return err
+	}
+	s.log.Info().Str("Event", "Started").Str("Host", s.cfg.Host).Str("Process", s.id).Stringer("Callers", s.cfg.Callers).Send()
+	select {
+	case <-ctx.Done():
+	case err = <-done:
+		n--
+	}
+	s.drain(callers)
+	stop()
+	for ; n > 0; n-- {
+		err = errors.CombineErrors(err, <-done)
+	}
+	_ = ready.Close() // The process ends; open checks of readiness need no answer.
+	_ = metrics.Close()
+	s.log.Info().Str("Event", "Stopped").Send()
+	return err
+}
+
+// listen serves h at addr until the server is closed.
+func (s *Station) listen(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp4", addr.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listener %s; free the address or change the settings", addr)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.log.Error().Str("Event", "ListenerEnded").Stringer("Address", addr).Err(err).Send()
+		}
+	}()
+	return srv, nil
+}
+
+// serveReady answers the balancer's check.
+func (s *Station) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if s.stopping.Load() || s.edge.Table() == nil || !s.listed.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Station) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.edge.WriteMetrics(w)
+}
--- /dev/null
+++ b/internal/fleet/gossip/gossip.go
@@ -0,0 +1,261 @@
+// Package gossip tells the hosts of a deployment of each other by datagrams:
+// who lives, which configuration is in force, the outstanding work on each
+// backend server and the usage counts. A lost datagram is made up for by the
+// next one.
+package gossip
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+//go:generate protoc --plugin=protoc-gen-go=../wire/protoc-gen-go.sh --go_out=. --go_opt=paths=source_relative gossip.proto
+
+const (
+	// nearInterval is the time between two packets to a host of the same availability zone, farInterval to
+	// one of another: bytes between zones are paid for.
+	nearInterval = 200 * time.Millisecond
+	farInterval  = time.Second
+	// fewHosts is the number of hosts to which each packet goes; of more, a part gets it in turn.
+	fewHosts = 12
+	// lifetime is how long a silent host counts as a member, in packets of another availability zone.
+	lifetime = 4 * time.Second
+	// keepTrying is how long packets are sent to a silent host: it may be cut off and return.
+	keepTrying = 20 * time.Second
+	// maxPacket bounds a datagram.
+	maxPacket = 60 << 10
+	// seedInterval is the time between two packets to seeds that are not members.
+	seedInterval = time.Second
+)
+
+// Member is another host.
+type Member struct {
+	Host    string
+	Zone    string
+	Addr    netip.Addr
+	Heard   time.Time
+	Holder  bool
+	Leaving bool
+	// Table is the version of the configuration that the host has in force.
+	Table int64
+}
+
+// Self describes this host.
+type Self struct {
+	Host, Zone string
+	Addr       netip.Addr
+	Port       uint16
+	Seeds      []netip.Addr
+}
+
+// Exchange sends and receives packets. Its methods are safe for concurrent use.
+type Exchange struct {
+	self Self
+	// fill completes a packet before it is sent; counts asks for usage counts, too.
+	fill func(p *Packet, counts bool)
+	// hear takes a packet of another host.
+	hear func(p *Packet, m Member)
+
+	mu      sync.Mutex
+	members map[netip.Addr]*peer
+	turn    int
+}
+
+type peer struct {
+	Member
+	sent time.Time
+}
+
+// New returns an Exchange. Before each packet is sent fill completes it, and hear is told of each that came.
+func New(self Self, fill func(p *Packet, counts bool), hear func(p *Packet, m Member)) *Exchange {
+	return &Exchange{self: self, fill: fill, hear: hear, members: map[netip.Addr]*peer{}}
+}
+
+// Members returns the other hosts that were heard of late.
+func (x *Exchange) Members(now time.Time) []Member {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []Member
+	for _, p := range x.members {
+		if now.Sub(p.Heard) < lifetime {
+			out = append(out, p.Member)
+		}
+	}
+	return out
+}
+
+// Run exchanges packets until ctx ends and then reports on done.
+func (x *Exchange) Run(ctx context.Context, done chan<- error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(x.self.Addr, x.self.Port)))
+	if err != nil {
+		done <- err
+		return
+	}
+	received := make(chan error, 1)
+	go x.receive(conn, received)
+	t := time.NewTicker(nearInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			x.send(conn, time.Now())
+		case err := <-received:
+			done <- err
+			return
+		case <-ctx.Done():
+			_ = conn.Close() // Ends receive, which reports the end.
+			<-received
+			done <- nil
+			return
+		}
+	}
+}
+
+func (x *Exchange) receive(conn *net.UDPConn, done chan<- error) {
+	buf := make([]byte, maxPacket)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			done <- err
+			return
+		}
+		var p Packet
+		if err := proto.Unmarshal(buf[:n], &p); err != nil || p.GetHost() == "" {
+			continue // Not a packet of a host; the next one follows soon.
+		}
+		x.received(&p, from.Addr().Unmap(), time.Now())
+	}
+}
+
+func (x *Exchange) received(p *Packet, from netip.Addr, now time.Time) {
+	if p.GetHost() == x.self.Host {
+		return
+	}
+	x.mu.Lock()
+	m := x.members[from]
+	if m == nil {
+		m = &peer{}
+		x.members[from] = m
+	}
+	m.Member = Member{
+		Host: p.GetHost(), Zone: p.GetZone(), Addr: from, Heard: now,
+		Holder: p.GetHolder(), Leaving: p.GetLeaving(), Table: p.GetTableVersion(),
+	}
+	member := m.Member
+	for _, raw := range p.GetPeers() {
+		if a, ok := netip.AddrFromSlice(raw); ok && a != x.self.Addr && x.members[a] == nil {
+			// Heard of, not heard: it becomes a member with its first packet.
+			x.members[a] = &peer{Member: Member{Addr: a, Heard: now.Add(-lifetime)}}
+		}
+	}
+	x.mu.Unlock()
+	x.hear(p, member)
+}
+
+// send tells those whose turn it is.
+func (x *Exchange) send(conn *net.UDPConn, now time.Time) {
+	targets, peers := x.targets(now)
+	if len(targets) == 0 {
+		return
+	}
+	var plain, full []byte
+	for _, t := range targets {
+		raw := &plain
+		if t.full {
+			raw = &full
+		}
+		if *raw == nil {
+			*raw = x.packet(t.full, peers)
+		}
+		// A datagram that cannot be sent is one that was lost.
+		_, _ = conn.WriteToUDPAddrPort(*raw, netip.AddrPortFrom(t.addr, x.self.Port))
+	}
+}
+
+func (x *Exchange) packet(full bool, peers [][]byte) []byte {
+	p := &Packet{Host: x.self.Host, Zone: x.self.Zone}
+	if full {
+		p.Peers = peers
+	}
+	x.fill(p, full)
+	raw, err := proto.Marshal(p)
+	if err != nil || len(raw) > maxPacket {
+		return nil
+	}
+	return raw
+}
+
+type target struct {
+	addr netip.Addr
+	full bool
+}
+
+// targets chooses who is told now: hosts of the zone often, others now and then, and the duties' holder
+// always in full.
+func (x *Exchange) targets(now time.Time) ([]target, [][]byte) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, a := range x.self.Seeds {
+		if a != x.self.Addr && x.members[a] == nil {
+			x.members[a] = &peer{Member: Member{Addr: a, Heard: now.Add(-lifetime)}}
+		}
+	}
+	var due []*peer
+	var known [][]byte
+	for a, p := range x.members {
+		silent := now.Sub(p.Heard)
+		if silent > keepTrying && !slices.Contains(x.self.Seeds, a) {
+			delete(x.members, a)
+			continue
+		}
+		if silent < lifetime {
+			known = append(known, a.AsSlice())
+		}
+		if now.Sub(p.sent) >= x.interval(p, silent)-nearInterval/2 {
+			due = append(due, p)
+		}
+	}
+	if len(due) > fewHosts {
+		rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+		slices.SortStableFunc(due, func(a, b *peer) int { return order(b.Holder) - order(a.Holder) })
+		due = due[:fewHosts]
+	}
+	if len(known) > fewHosts {
+		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+		known = known[:fewHosts]
+	}
+	x.turn++
+	out := make([]target, 0, len(due))
+	for _, p := range due {
+		p.sent = now
+		far := p.Zone != x.self.Zone
+		out = append(out, target{addr: p.Addr, full: far || p.Holder || x.turn%int(farInterval/nearInterval) == 0})
+	}
+	return out, known
+}
+
+func order(first bool) int {
+	if first {
+		return 1
+	}
+	return 0
+}
+
+func (x *Exchange) interval(p *peer, silent time.Duration) time.Duration {
+	switch {
+	case silent >= lifetime:
+		return seedInterval
+	case p.Zone == x.self.Zone:
+		return nearInterval
+	case p.Holder:
+		return farInterval / 2
+	}
+	return farInterval
+}
--- /dev/null
+++ b/internal/platform/mirror/mirror.go
@@ -0,0 +1,154 @@
+// Package mirror follows the objects of one kind in the platform's store: it
+// lists them, then waits for changes, and starts again from a list when history
+// is gone. A store that is away is asked again at growing intervals.
+package mirror
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"shallotramp/internal/platform/store"
+)
+
+const (
+	// firstDelay and maxDelay bound the time between two calls of which the first failed.
+	firstDelay = 150 * time.Millisecond
+	maxDelay   = 600 * time.Millisecond
+)
+
+// Source reads objects. The client of the platform's store is one.
+type Source interface {
+	// List returns all objects of the kind and the version of the list.
+	List(ctx context.Context, kind string) ([]store.Object, string, error)
+	// Changes waits up to wait for changes after version and returns them with the version to go on from.
+	Changes(ctx context.Context, kind, version string, wait time.Duration) ([]store.Event, string, error)
+}
+
+// Update is what a follower learned.
+type Update struct {
+	// Whole updates hold all Objects; others hold Events.
+	Whole   bool
+	Objects []store.Object
+	Events  []store.Event
+	// Version is the store's version after the update.
+	Version string
+	// Err is a failed call; nothing else is set then.
+	Err error
+	// Sent is when the call that told this began.
+	Sent time.Time
+}
+
+// Mirror follows one kind.
+type Mirror struct {
+	source Source
+	kind   string
+	wait   time.Duration
+	relist time.Duration
+	out    func(Update)
+	poke   chan struct{}
+	listed time.Time
+	delay  time.Duration
+}
+
+// New returns a Mirror that tells out of each update, on its own goroutine. A call waits up to wait for
+// changes, and all objects are listed again every relist, in case a change was not told.
+func New(source Source, kind string, wait, relist time.Duration, out func(Update)) *Mirror {
+	return &Mirror{source: source, kind: kind, wait: wait, relist: relist, out: out, poke: make(chan struct{}, 1)}
+}
+
+// Poke lists all objects soon, for there is word of a change that was not seen.
+func (m *Mirror) Poke() {
+	select {
+	case m.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows until ctx ends and then reports on done.
+func (m *Mirror) Run(ctx context.Context, done chan<- error) {
+	version := ""
+	for ctx.Err() == nil {
+		if version == "" || time.Since(m.listed) > m.relist {
+			version = m.list(ctx, version)
+			continue
+		}
+		version = m.change(ctx, version)
+	}
+	done <- nil
+}
+
+// list returns the version to go on from, or that of before.
+func (m *Mirror) list(ctx context.Context, before string) string {
+	sent := time.Now()
+	objects, at, err := m.source.List(ctx, m.kind)
+	if err != nil {
+		m.failed(ctx, err)
+		return before
+	}
+	m.delay, m.listed = 0, time.Now()
+	if older(at, before) {
+		// The answer is older than what is known already: another list will tell.
+		return before
+	}
+	m.out(Update{Whole: true, Objects: objects, Version: at, Sent: sent})
+	return at
+}
+
+func (m *Mirror) change(ctx context.Context, version string) string {
+	sent := time.Now()
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		select {
+		case <-m.poke:
+			m.listed = time.Time{}
+			cancel()
+		case <-call.Done():
+		}
+	}()
+	events, at, err := m.source.Changes(call, m.kind, version, m.wait)
+	poked := call.Err() != nil
+	cancel()
+	<-over
+	switch {
+	case poked:
+		return version
+	case store.Failed(err, store.Expired):
+		m.listed = time.Time{}
+		return version
+	case err != nil:
+		m.failed(ctx, err)
+		return version
+	}
+	m.delay = 0
+	if older(at, version) {
+		m.listed = time.Time{}
+		return version
+	}
+	m.out(Update{Events: events, Version: at, Sent: sent})
+	return at
+}
+
+// failed waits before the next call, which lists all objects: changes may have been missed.
+func (m *Mirror) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	m.out(Update{Err: err})
+	m.listed = time.Time{}
+	m.delay = min(max(2*m.delay, firstDelay), maxDelay)
+	select {
+	case <-time.After(m.delay):
+	case <-ctx.Done():
+	}
+}
+
+// older reports whether version a comes before b. Versions of this store are numbers.
+func older(a, b string) bool {
+	x, errA := strconv.ParseInt(a, 10, 64)
+	y, errB := strconv.ParseInt(b, 10, 64)
+	return errA == nil && errB == nil && x < y
+}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -167,10 +167,8 @@
 	Why string
 }
 
-// Policy decides. It is used by one goroutine, does no I/O and reads no clock.
-type Policy interface {
-	// Configure adopts a release; servers and classes that are gone are dropped.
-	Configure(now time.Time, s *release.Snapshot) []Effect
+// Core is what a [Loop] needs of a policy. It is used by one goroutine, does no I/O and reads no clock.
+type Core interface {
 	// Arrive takes a new request.
 	Arrive(now time.Time, r *request.Request) []Effect
 	// Cancel forgets a request whose caller left or whose key was withdrawn. A running
@@ -182,12 +180,19 @@
 	Finish(now time.Time, r request.Result) []Effect
 	// Report notes a server's load report.
 	Report(now time.Time, l Load) []Effect
+	// Tick lets time pass; it is called at least every 100 ms.
+	Tick(now time.Time) []Effect
+}
+
+// Policy decides about the requests of a release, beside other hosts.
+type Policy interface {
+	Core
+	// Configure adopts a release; servers and classes that are gone are dropped.
+	Configure(now time.Time, s *release.Snapshot) []Effect
 	// Server notes a change in a server's life.
 	Server(now time.Time, s ServerState) []Effect
 	// Peer notes what another host reports.
 	Peer(now time.Time, h HostState) []Effect
 	// State returns what this host tells the others.
 	State(now time.Time) HostState
-	// Tick lets time pass; it is called at least every 100 ms.
-	Tick(now time.Time) []Effect
 }
--- a/internal/traffic/dispatch/loop.go
+++ b/internal/traffic/dispatch/loop.go
@@ -39,10 +39,16 @@
 	cacheEvent struct{ event CacheEvent }
 	server     struct{ state ServerState }
 	peer       struct{ state HostState }
+	apply      struct{ change func(now time.Time) []Effect }
 	stateQuery struct{ answer chan<- HostState }
 )
 
-func (e configure) apply(l *Loop, now time.Time) []Effect { return l.policy.Configure(now, e.snap) }
+func (e configure) apply(l *Loop, now time.Time) []Effect {
+	if p, ok := l.policy.(Policy); ok {
+		return p.Configure(now, e.snap)
+	}
+	return nil
+}
 
 func (e arrive) apply(l *Loop, now time.Time) []Effect {
 	l.tickets[e.ticket.Request.ID] = e.ticket
@@ -94,12 +100,28 @@
 	return nil
 }
 
-func (e server) apply(l *Loop, now time.Time) []Effect { return l.policy.Server(now, e.state) }
+func (e server) apply(l *Loop, now time.Time) []Effect {
+	if p, ok := l.policy.(Policy); ok {
+		return p.Server(now, e.state)
+	}
+	return nil
+}
+
+func (e peer) apply(l *Loop, now time.Time) []Effect {
+	if p, ok := l.policy.(Policy); ok {
+		return p.Peer(now, e.state)
+	}
+	return nil
+}
 
-func (e peer) apply(l *Loop, now time.Time) []Effect { return l.policy.Peer(now, e.state) }
+func (e apply) apply(_ *Loop, now time.Time) []Effect { return e.change(now) }
 
 func (e stateQuery) apply(l *Loop, now time.Time) []Effect {
-	e.answer <- l.policy.State(now)
+	var s HostState
+	if p, ok := l.policy.(Policy); ok {
+		s = p.State(now)
+	}
+	e.answer <- s
 	return nil
 }
 
@@ -121,7 +143,7 @@
 
 // Loop owns a policy and connects it to traffic. Its methods are safe for concurrent use.
 type Loop struct {
-	policy  Policy
+	policy  Core
 	events  chan event
 	tickets map[request.ID]*Ticket
 	observe func(Effect)
@@ -137,7 +159,7 @@
 }
 
 // NewLoop returns a Loop around p, which nothing else may use from now on.
-func NewLoop(p Policy, opts ...LoopOption) *Loop {
+func NewLoop(p Core, opts ...LoopOption) *Loop {
 	l := &Loop{
 		policy:  p,
 		events:  make(chan event, eventBuffer),
@@ -241,6 +263,9 @@
 // Peer passes on another host's state.
 func (l *Loop) Peer(s HostState) { l.post(peer{s}) }
 
+// Apply runs change on the loop's goroutine, for inputs that only one policy knows, and carries its effects out.
+func (l *Loop) Apply(change func(now time.Time) []Effect) { l.post(apply{change}) }
+
 // State asks the policy for what this host tells the others.
 func (l *Loop) State(ctx context.Context) (HostState, error) {
 	ch := make(chan HostState, 1)
--- /dev/null
+++ b/internal/traffic/placement/placement.go
@@ -0,0 +1,278 @@
+// Package placement decides which backend server runs a request now, which
+// requests wait and which are refused, from the routing table, the list of
+// backend servers, the host's own outstanding work and what other hosts tell of
+// theirs. It does no I/O and reads no clock.
+//
+// Each decision answers a load pattern: long prompts beside short conversations
+// (estimate.go), a service without free places (queue.go), servers that fail,
+// hang or are unreachable (health.go), and callers that would multiply a
+// failure by retries (budget.go).
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"shallotramp/internal/fleet/backend"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/request"
+	"shallotramp/internal/traffic/route"
+)
+
+// Policy decides. It implements [dispatch.Core].
+type Policy struct {
+	zone     string
+	rnd      *rand.Rand
+	table    *route.Table
+	limits   RetryLimits
+	hosts    int
+	services map[string]*service
+	servers  map[string]*server
+	entries  map[request.ID]*entry
+	peers    map[string]Peer
+}
+
+var _ dispatch.Core = (*Policy)(nil)
+
+// RetryLimits bound attempts beyond the first, over all hosts.
+type RetryLimits struct {
+	// Ratio is repeats per request, Slack what may be added in Window.
+	Ratio, Slack float64
+	Window       time.Duration
+}
+
+// Option changes a [Policy].
+type Option func(*Policy)
+
+// WithZone sets the host's availability zone, whose servers are nearest.
+func WithZone(zone string) Option { return func(p *Policy) { p.zone = zone } }
+
+// WithRetryLimits sets the bound on repeats.
+func WithRetryLimits(l RetryLimits) Option { return func(p *Policy) { p.limits = l } }
+
+// New returns a Policy that knows no server. Equal seeds and events give equal effects.
+func New(seed uint64, opts ...Option) *Policy {
+	p := &Policy{
+		rnd: rand.New(rand.NewPCG(seed, 1)), hosts: 1,
+		services: map[string]*service{}, servers: map[string]*server{},
+		entries: map[request.ID]*entry{}, peers: map[string]Peer{},
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// entry is a request in the policy's care.
+type entry struct {
+	req *request.Request
+	svc *service
+	// server runs the current attempt; nil while the request waits.
+	server *server
+	// runs counts attempts that a server may have run, sends all that reached one.
+	runs, sends int
+	// tried lists servers that rejected, failed or could not be reached.
+	tried   []*server
+	started time.Time
+	// uncached is the part of the prompt that the server has to read, and held its memory.
+	uncached, held int
+	// outlook is the expected time to the first token when the attempt started.
+	outlook time.Duration
+	first   bool
+	long    bool
+}
+
+// service is a group of servers that run the same.
+type service struct {
+	name    string
+	engine  *route.Engine
+	servers []*server
+	waiting []*entry
+	learned rates
+	repeats budget
+}
+
+// Configure adopts a routing table.
+func (p *Policy) Configure(now time.Time, t *route.Table) []dispatch.Effect {
+	p.table = t
+	for name, s := range t.Services {
+		p.service(name).engine = s.Engine
+	}
+	return p.settleAll(now)
+}
+
+func (p *Policy) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{name: name, learned: newRates()}
+		p.services[name] = s
+	}
+	return s
+}
+
+// Servers replaces the list of backend servers.
+func (p *Policy) Servers(now time.Time, list []backend.Server) []dispatch.Effect {
+	known := make(map[string]bool, len(list))
+	for _, s := range p.services {
+		s.servers = s.servers[:0]
+	}
+	for _, info := range list {
+		known[info.ID] = true
+		s := p.servers[info.ID]
+		if s == nil || s.info.Addr != info.Addr || !s.info.Born.Equal(info.Born) {
+			s = newServer(info)
+			p.servers[info.ID] = s
+		}
+		s.info = info
+		if info.Serves() {
+			svc := p.service(info.Service)
+			svc.servers = append(svc.servers, s)
+		}
+	}
+	for id := range p.servers {
+		if !known[id] {
+			delete(p.servers, id)
+		}
+	}
+	for _, s := range p.services {
+		slices.SortFunc(s.servers, func(a, b *server) int { return compare(a.rank, b.rank) })
+		s.partition()
+	}
+	return p.settleAll(now)
+}
+
+func compare(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Arrive implements [dispatch.Core].
+func (p *Policy) Arrive(now time.Time, r *request.Request) []dispatch.Effect {
+	e := &entry{req: r, svc: p.service(r.Pool)}
+	p.entries[r.ID] = e
+	e.svc.repeats.request(now, p.limits.Window)
+	e.long = e.svc.engine != nil && r.PromptTokens >= longPrompt
+	return p.place(now, e)
+}
+
+// place starts e, lets it wait or refuses it.
+func (p *Policy) place(now time.Time, e *entry) []dispatch.Effect {
+	c := p.choose(now, e)
+	if c.server == nil {
+		return []dispatch.Effect{p.refuse(e, dispatch.NoServer, retryNoServer, "no server of the service takes work")}
+	}
+	patience := p.patience(now, e)
+	switch {
+	case c.first > patience:
+		return []dispatch.Effect{p.refuse(e, dispatch.Overload, p.comeBack(c.first-patience), "would start too late on each server")}
+	case c.full:
+		return p.wait(now, e, c)
+	}
+	return []dispatch.Effect{p.start(now, e, c)}
+}
+
+func (p *Policy) start(now time.Time, e *entry, c choice) dispatch.Effect {
+	e.server, e.started, e.first = c.server, now, false
+	e.uncached, e.outlook = c.uncached, c.first
+	e.held = e.req.PromptTokens + min(e.req.MaxTokens, assumedOutput)
+	e.sends++
+	c.server.begin(now, e)
+	return dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: c.server.info.ID, Attempt: e.sends, Why: c.why}
+}
+
+func (p *Policy) refuse(e *entry, reason dispatch.RefusalReason, after time.Duration, why string) dispatch.Effect {
+	delete(p.entries, e.req.ID)
+	out := dispatch.Effect{Kind: dispatch.Refuse, ID: e.req.ID, Reason: reason, RetryAfter: after, Why: why}
+	if e.runs > 0 {
+		out.Ran = request.MayHaveRun
+	}
+	return out
+}
+
+// Cancel implements [dispatch.Core].
+func (p *Policy) Cancel(now time.Time, id request.ID) []dispatch.Effect {
+	e := p.entries[id]
+	if e == nil || e.server != nil {
+		return nil
+	}
+	e.svc.drop(e)
+	delete(p.entries, id)
+	return p.settle(now, e.svc)
+}
+
+// Progress implements [dispatch.Core]. The first call tells of the first token.
+func (p *Policy) Progress(now time.Time, id request.ID, _ int) {
+	e := p.entries[id]
+	if e == nil || e.server == nil || e.first {
+		return
+	}
+	e.first = true
+	e.server.firstToken(now, e)
+	e.svc.learned.firstToken(now.Sub(e.started), e)
+}
+
+// Finish implements [dispatch.Core].
+func (p *Policy) Finish(now time.Time, r request.Result) []dispatch.Effect {
+	e := p.entries[r.ID]
+	if e == nil || e.server == nil {
+		return nil
+	}
+	s := e.server
+	s.end(now, e, r.Outcome)
+	if r.Outcome == request.Completed {
+		e.svc.learned.completed(now.Sub(e.started), e)
+	}
+	e.server = nil
+	out := p.again(now, e, s, r)
+	return append(out, p.settle(now, e.svc)...)
+}
+
+// again decides what follows an attempt that has ended.
+func (p *Policy) again(now time.Time, e *entry, s *server, r request.Result) []dispatch.Effect {
+	e.tried = append(e.tried, s)
+	switch r.Outcome {
+	case request.Rejected:
+		if e.sends >= maxSends || !e.svc.repeats.take(now, p.limits, p.hosts) {
+			return []dispatch.Effect{p.refuse(e, dispatch.Exhausted, p.comeBack(0), "rejected by its servers")}
+		}
+	case request.Unreachable:
+		e.sends--
+		if len(e.tried) >= maxUnreached {
+			return []dispatch.Effect{p.refuse(e, dispatch.NoServer, retryNoServer, "no server could be reached")}
+		}
+	case request.Broken, request.Failed:
+		e.runs++
+		if !e.req.Idempotent || r.Delivered > 0 && !r.Resumable || e.runs >= e.req.Attempts ||
+			!e.svc.repeats.take(now, p.limits, p.hosts) {
+			return []dispatch.Effect{p.refuse(e, dispatch.Exhausted, 0, "no attempt is left")}
+		}
+	case request.Completed, request.Cancelled, request.Preempted:
+		delete(p.entries, e.req.ID)
+		return nil
+	}
+	return p.place(now, e)
+}
+
+// Report implements [dispatch.Core].
+func (p *Policy) Report(now time.Time, l dispatch.Load) []dispatch.Effect {
+	if s := p.servers[l.Server]; s != nil {
+		s.reported, s.reportedAt = l, now
+	}
+	return nil
+}
+
+// Tick implements [dispatch.Core].
+func (p *Policy) Tick(now time.Time) []dispatch.Effect {
+	for h, s := range p.peers {
+		if now.Sub(s.At) > peerLifetime {
+			delete(p.peers, h)
+		}
+	}
+	return p.settleAll(now)
+}
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -42,6 +42,20 @@
 	Deadline    time.Time
 	// Zone is the availability zone of the host that took the request.
 	Zone string
+	// Parts of the prompt, in order, where the caller names them. The last belongs to the request or its session.
+	Parts []Part
+	// Goal is the time from Arrived to the first token, or to the whole answer without streaming, at full value.
+	Goal time.Duration
+	// GapTarget is the longest pause between two events at full value.
+	GapTarget time.Duration
+	// Repeat requests came back after an earlier one was refused or failed; false if unknown.
+	Repeat bool
+}
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
 }
 
 // Ran says whether a request may have run on a backend server.
