--- a/internal/capacity/supply/supply.go
+++ b/internal/capacity/supply/supply.go
@@ -17,7 +17,7 @@
 const (
 	// leastServers is how many servers a zone keeps while nothing is known of its load, and below which it
 	// never falls: one may crash.
-	leastServers = 3
+	leastServers = 5
 	// standIn is how many regular servers stand in for a zone whose reclaimable ones are gone.
 	standIn = 1
 	// fullLoad is the share of time in which a server reads prompts or fills its places from which another
--- a/internal/command/cli/edge.go
+++ b/internal/command/cli/edge.go
@@ -16,6 +16,9 @@
 const (
 	// logLines bounds the log lines that wait for standard output; more are dropped and counted.
 	logLines = 2048
+	// leaseShare is the term of the duties' lease, in percent of the shortest time between two holders: a
+	// successor has to find the holder silent first.
+	leaseShare = 70
 	// memoryShare is the part of the process's limit from which the collector works harder.
 	memoryShare = 0.7
 )
@@ -52,7 +55,7 @@
 		Host: set.Host, Zone: set.Zone, IP: set.IP, Callers: set.Callers, Ready: set.Ready,
 		Metrics: netip.AddrPortFrom(set.IP, c.MetricsPort), FleetPort: set.FleetPort, Seeds: set.Seeds,
 		Retry: placement.RetryLimits{Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow},
-		Grace: set.Bounds.Grace, Term: set.Bounds.Lease, UsageWindow: set.Bounds.UsageWindow, UsageDue: set.Bounds.UsageDue,
+		Grace: set.Bounds.Grace, Apply: set.Bounds.Apply, Term: leaseShare * set.Bounds.Lease / 100, UsageWindow: set.Bounds.UsageWindow, UsageDue: set.Bounds.UsageDue,
 		ReportsUsage: set.ReportsUsage, Orders: set.OrdersServers,
 	}, p, log)
 	return s.Run(g.ctx)
--- a/internal/entry/station/duty.go
+++ b/internal/entry/station/duty.go
@@ -6,6 +6,8 @@
 
 	"shallotramp/internal/capacity/supply"
 	"shallotramp/internal/fleet/lease"
+	"shallotramp/internal/platform/store"
+	"shallotramp/internal/usage/freeze"
 	"shallotramp/internal/usage/tally"
 )
 
@@ -16,6 +18,11 @@
 	settleTime = 2500 * time.Millisecond
 	// retryDuty is the time between two tries of a call.
 	retryDuty = 700 * time.Millisecond
+	// saveInterval is the time between two writes of the growing figures, and what is lost of them if all
+	// hosts stop at once.
+	saveInterval = time.Second
+	// holderSilence is how long no host says that it holds the duties before this one looks at the lease.
+	holderSilence = 1500 * time.Millisecond
 	// warmUp is how long a new holder listens before it reports: each host tells its counts within a second.
 	warmUp = 1500 * time.Millisecond
 )
@@ -33,7 +40,9 @@
 	c := lease.DefaultConfig()
 	c.Term = term
 	c.Margin, c.Guard = term/10, term/10
-	c.Renew, c.Poll, c.Retry = term/3, term/8, 200*time.Millisecond
+	// Hosts hear of the holder from itself; reads without that are a last resort.
+	c.Renew, c.Poll, c.Retry = term/3, 4*term, 200*time.Millisecond
+	c.Hinted = true
 	return c
 }
 
@@ -46,15 +55,16 @@
 type dutyState struct {
 	fence   uint64
 	since   time.Time
-	next    tally.Window
-	tried   time.Time
 	planner *supply.Planner
-	frozen  map[tally.Window]tally.Counts
-	ordered time.Time
+	book    *freeze.Book
+	// saved is when the book was written, tried when a call failed last.
+	saved, tried time.Time
+	// sent is the newest window that this holder has reported.
+	sent tally.Window
 }
 
-func newDutyState() *dutyState {
-	return &dutyState{planner: supply.New(), frozen: map[tally.Window]tally.Counts{}}
+func newDutyState(st store.Store) *dutyState {
+	return &dutyState{planner: supply.New(), book: freeze.New(st)}
 }
 
 // duties does what is due, if this host holds the lease.
@@ -66,44 +76,103 @@
 	fence, ok := s.duty.Held(now)
 	if !ok {
 		d.fence = 0
+		s.seekHolder(now)
 		return
 	}
 	if d.fence != fence {
-		d.fence, d.since = fence, now
+		d.fence, d.since, d.sent = fence, now, 0
 		d.planner.Reset()
-		d.next = 0
+		d.book.Doubt()
 	}
 	if s.cfg.Orders {
 		s.order(ctx, d, now)
 	}
-	if s.cfg.ReportsUsage && now.Sub(d.since) >= warmUp {
-		s.report(ctx, d, now)
+	if s.cfg.ReportsUsage && now.Sub(d.tried) >= retryDuty {
+		if err := s.account(ctx, d, now); err != nil {
+			d.tried = now
+			s.log.Warn().Str("Event", "UsageDelayed").Uint64("Fence", fence).Err(err).Send()
+		}
 	}
 }
 
-// report sends the oldest window that is over and not reported yet.
-func (s *Station) report(ctx context.Context, d *dutyState, now time.Time) {
-	at := s.clock.Now()
-	if d.next == 0 {
-		// A predecessor may have reported these: an equal report changes nothing.
-		d.next = s.tally.Window(at.Add(-s.cfg.UsageDue))
+// seekHolder looks at the lease while no other host says that it holds it.
+func (s *Station) seekHolder(now time.Time) {
+	for _, m := range s.fleet.Members(now) {
+		if m.Holder && now.Sub(m.Heard) < holderSilence {
+			s.sought = now
+			return
+		}
 	}
-	if at.Sub(s.tally.End(d.next)) < settleTime || now.Sub(d.tried) < retryDuty {
-		return
+	if now.Sub(s.sought) > holderSilence {
+		s.sought = now
+		s.leases.Hint(dutyRole)
 	}
-	counts := s.tally.Total(d.next)
-	fence, ok := s.duty.Held(time.Now())
-	if !ok {
-		return
+}
+
+// account writes the figures of all hosts to the store, decides those of windows that are over, and
+// reports what is decided.
+func (s *Station) account(ctx context.Context, d *dutyState, now time.Time) error {
+	if !d.book.Known() {
+		growing, err := d.book.Load(ctx)
+		if err != nil {
+			return err
+		}
+		for host, windows := range growing {
+			s.tally.Merge(host, windows)
+		}
+	}
+	if now.Sub(d.since) < warmUp {
+		return nil
+	}
+	decided := s.decide(d)
+	if len(decided) > 0 || now.Sub(d.saved) >= saveInterval {
+		if err := d.book.Save(ctx, decided, s.tally.All()); err != nil {
+			return err
+		}
+		d.saved = now
 	}
-	d.tried = now
-	err := s.platform.Duties.Report(ctx, fence, int64(d.next), counts)
-	s.log.Info().Str("Event", "UsageReported").Int64("Window", int64(d.next)).Interface("Counts", counts).
-		Uint64("Fence", fence).Err(err).Send()
-	if err == nil {
-		d.next++
-		d.tried = time.Time{}
+	return s.report(ctx, d)
+}
+
+// decide returns the figures of windows that are over and not decided yet.
+func (s *Station) decide(d *dutyState) map[tally.Window]tally.Counts {
+	out := map[tally.Window]tally.Counts{}
+	last := s.tally.Window(s.clock.Now().Add(-settleTime)) - 1
+	for w := max(s.firstDue(), d.book.Reported()+1); w <= last; w++ {
+		if _, ok := d.book.Frozen(w); !ok {
+			out[w] = s.tally.Total(w)
+		}
+	}
+	return out
+}
+
+// firstDue returns the oldest window that can still be reported in time, with some to spare.
+func (s *Station) firstDue() tally.Window {
+	return s.tally.Window(s.clock.Now().Add(-2 * (s.cfg.UsageDue + s.cfg.UsageWindow)))
+}
+
+// report sends the decided windows in order.
+func (s *Station) report(ctx context.Context, d *dutyState) error {
+	last := s.tally.Window(s.clock.Now())
+	for w := max(s.firstDue(), d.book.Reported()+1, d.sent+1); w <= last; w++ {
+		counts, ok := d.book.Frozen(w)
+		if !ok {
+			continue
+		}
+		fence, held := s.duty.Held(time.Now())
+		if !held {
+			return nil
+		}
+		err := s.platform.Duties.Report(ctx, fence, int64(w), counts)
+		s.log.Info().Str("Event", "UsageReported").Int64("Window", int64(w)).Interface("Counts", counts).
+			Uint64("Fence", fence).Err(err).Send()
+		if err != nil {
+			return err
+		}
+		d.sent = w
+		d.book.NoteReported(w)
 	}
+	return nil
 }
 
 // order sends what the planner wants.
--- a/internal/entry/station/follow.go
+++ b/internal/entry/station/follow.go
@@ -140,7 +140,7 @@
 	p.Leaving = s.stopping.Load()
 	p.Holder = s.duty != nil && s.duty.Valid(time.Now())
 	for id, w := range *s.work.Load() {
-		p.Work = append(p.Work, &gossip.Work{Server: id, Running: int32(w.Running), Unread: int32(w.Unread), Held: int32(w.Held)})
+		p.Work = append(p.Work, encodeWork(id, w))
 	}
 	if !counts || s.tally == nil {
 		return
@@ -171,17 +171,35 @@
 	}
 	peer := placement.Peer{Host: m.Host, Work: make(map[string]placement.Work, len(p.GetWork()))}
 	for _, w := range p.GetWork() {
-		peer.Work[w.GetServer()] = placement.Work{Running: int(w.GetRunning()), Unread: int(w.GetUnread()), Held: int(w.GetHeld())}
+		peer.Work[w.GetServer()] = decodeWork(w)
 	}
 	hosts := len(s.fleet.Members(time.Now())) + 1
 	s.loop.Apply(func(now time.Time) []dispatch.Effect { return s.policy.Peer(now, peer, hosts) })
 }
 
+func encodeWork(server string, w placement.Work) *gossip.Work {
+	out := &gossip.Work{Server: server, Running: int32(w.Running), Held: int32(w.Held)}
+	for _, n := range w.Unread {
+		out.Unread = append(out.Unread, int32(n))
+	}
+	return out
+}
+
+func decodeWork(w *gossip.Work) placement.Work {
+	out := placement.Work{Running: int(w.GetRunning()), Held: int(w.GetHeld())}
+	for i, n := range w.GetUnread() {
+		if i < placement.Tiers {
+			out.Unread[i] = int(n)
+		}
+	}
+	return out
+}
+
 // step looks at the directory and the duties until ctx ends.
 func (s *Station) step(ctx context.Context, done chan<- error) {
 	t := time.NewTicker(stepInterval)
 	defer t.Stop()
-	d := newDutyState()
+	d := newDutyState(s.platform.Store)
 	for {
 		select {
 		case <-t.C:
--- a/internal/entry/station/station.go
+++ b/internal/entry/station/station.go
@@ -63,6 +63,9 @@
 	Retry          placement.RetryLimits
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
+	// Apply is the time in which a configuration must be in force. A watch of the store waits as long: one
+	// that fell silent is noticed after it.
+	Apply time.Duration
 	// Term is that of the lease of the duties.
 	Term time.Duration
 	// UsageWindow is the length of a usage window, reported before UsageDue after its end.
@@ -93,6 +96,8 @@
 	stopping atomic.Bool
 	work     atomic.Pointer[map[string]placement.Work]
 	heardOf  atomic.Int64
+	// sought is when the lease was looked at or its holder heard; the step owns it.
+	sought time.Time
 
 	// mu guards what the mirrors and the step share.
 	mu        sync.Mutex
@@ -115,8 +120,8 @@
 	s.loop = dispatch.NewLoop(s.policy)
 	s.edge = edge.New(cfg.Zone, p.Codec, s.loop, edge.WithLog(log), edge.WithUsage(counter{s}))
 	s.fleet = gossip.New(gossip.Self{Host: s.id, Zone: cfg.Zone, Addr: cfg.IP, Port: cfg.FleetPort, Seeds: cfg.Seeds}, s.fill, s.hear)
-	s.tables = mirror.New(p.Store, p.Kinds.Table, watchWait, relistInterval, s.followTable)
-	s.list = mirror.New(p.Store, p.Kinds.Servers, watchWait, relistInterval, s.followServers)
+	s.tables = mirror.New(p.Store, p.Kinds.Table, cfg.Apply, relistInterval, s.followTable)
+	s.list = mirror.New(p.Store, p.Kinds.Servers, cfg.Apply, relistInterval, s.followServers)
 	if p.Duties != nil {
 		s.leases = lease.NewManager(p.Store, s.id, lease.WithConfig(leaseConfig(cfg.Term)), lease.WithObserver(s.leaseChanged))
 		s.leases.SetEager(false)
@@ -136,8 +141,6 @@
 }
 
 const (
-	// watchWait is how long a watch waits for a change: a connection that fell silent is noticed after it.
-	watchWait = 1500 * time.Millisecond
 	// relistInterval is the time between two whole lists.
 	relistInterval = 20 * time.Second
 	// stepInterval is how often the host looks at its duties and its directory.
--- a/internal/fleet/lease/core.go
+++ b/internal/fleet/lease/core.go
@@ -246,6 +246,9 @@
 	case s.Found && s.Record.Released, s.Found && s.Record.Holder == c.self:
 		return 0
 	}
+	if c.cfg.Hinted {
+		return max(c.cfg.Term, time.Duration(s.Record.Term)) + c.cfg.Margin
+	}
 	// A candidate that reads rarely waits for its next read rather than for the term alone.
 	return max(max(c.cfg.Term, time.Duration(s.Record.Term))+c.cfg.Margin, c.cfg.Poll)
 }
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -85,6 +85,8 @@
 	// Renew is the time from one grant's request to the next renewal, Poll that between two reads of a
 	// follower, Retry that before a failed call is repeated.
 	Renew, Poll, Retry time.Duration
+	// Hinted candidates learn of a silent holder by [Manager.Hint]: they need not wait for their next read.
+	Hinted bool
 	// Stagger delays a bid for each role that the host holds already, up to MaxStagger. Jitter bounds a
 	// random delay in addition.
 	Stagger, MaxStagger, Jitter time.Duration
--- a/internal/traffic/placement/estimate.go
+++ b/internal/traffic/placement/estimate.go
@@ -102,7 +102,7 @@
 	l := &e.svc.learned
 	c := choice{uncached: p.uncached(now, e, s), why: "least expected delay"}
 	slots := max(s.info.Slots, 1)
-	c.first = l.reading(w.Unread+c.uncached) + l.base + time.Duration(w.Running)*placeTime
+	c.first = l.reading(w.ahead(e.req.Tier)+c.uncached) + l.base + time.Duration(w.Running)*placeTime
 	if over := w.Running + 1 - slots; over > 0 {
 		c.first += time.Duration(over) * l.whole / time.Duration(slots)
 	}
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -25,19 +25,36 @@
 	open       map[request.ID]*entry
 }
 
+// Tiers is how many tiers are told apart in outstanding work; lower ones count as the last.
+const Tiers = 4
+
 // Work is outstanding work on a server.
 type Work struct {
-	// Running counts requests that were sent and have not ended, Unread the tokens of prompts sent and not
-	// read yet, Held the tokens in memory.
-	Running, Unread, Held int
+	// Running counts requests that were sent and have not ended, Held the tokens in memory.
+	Running, Held int
+	// Unread counts the tokens of prompts sent and not read yet, by tier.
+	Unread [Tiers]int
 }
 
 func (w *Work) add(o Work) {
 	w.Running += o.Running
-	w.Unread += o.Unread
 	w.Held += o.Held
+	for i, n := range o.Unread {
+		w.Unread[i] += n
+	}
+}
+
+// ahead returns the unread tokens that come before a request of the tier.
+func (w *Work) ahead(tier int) int {
+	n := 0
+	for i := range place(tier) + 1 {
+		n += w.Unread[i]
+	}
+	return n
 }
 
+func place(tier int) int { return min(max(tier, 0), Tiers-1) }
+
 func newServer(info backend.Server) *server {
 	return &server{info: info, rank: rankOf(info.ID, 0), open: map[request.ID]*entry{}, cache: newCache()}
 }
@@ -54,20 +71,21 @@
 }
 
 func (s *server) begin(now time.Time, e *entry) {
-	s.own.add(Work{Running: 1, Unread: e.uncached, Held: e.held})
+	s.own.add(Work{Running: 1, Held: e.held})
+	s.own.Unread[place(e.req.Tier)] += e.uncached
 	s.open[e.req.ID] = e
 	s.cache.touch(now, e.req.Parts)
 }
 
 func (s *server) firstToken(now time.Time, e *entry) {
-	s.own.Unread -= e.uncached
+	s.own.Unread[place(e.req.Tier)] -= e.uncached
 	s.answered(now)
 }
 
 func (s *server) end(now time.Time, e *entry, o request.Outcome) {
 	s.own.add(Work{Running: -1, Held: -e.held})
 	if !e.first {
-		s.own.Unread -= e.uncached
+		s.own.Unread[place(e.req.Tier)] -= e.uncached
 	}
 	delete(s.open, e.req.ID)
 	s.note(now, e, o)
--- a/internal/usage/tally/tally.go
+++ b/internal/usage/tally/tally.go
@@ -73,15 +73,12 @@
 	return out
 }
 
-// Known returns a copy of all hosts' counts, for a new host.
-func (t *Tally) Known() map[string]map[Window]Counts {
+// All returns a copy of the counts of all hosts.
+func (t *Tally) All() map[string]map[Window]Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[string]map[Window]Counts{}
+	out := make(map[string]map[Window]Counts, len(t.hosts))
 	for h, windows := range t.hosts {
-		if h == t.self {
-			continue
-		}
 		out[h] = make(map[Window]Counts, len(windows))
 		for w, c := range windows {
 			out[h][w] = maps.Clone(c)
