placement, gossip: parts are fetched from the engine that keeps them; servers follow the load

Change: hosts tell each other where shared parts went; a prompt goes with the address of the engine that keeps more of it; a service's need (reading time and places filled) is summed by zone and decides the servers ordered.

--- a/internal/capacity/supply/supply.go
+++ b/internal/capacity/supply/supply.go
@@ -15,14 +15,15 @@
 )
 
 const (
-	// leastServers is how many servers a zone keeps while nothing is known of its load, and below which it
-	// never falls: one may crash.
+	// spareServers are kept beyond the need: some crash, and a burst comes faster than a server boots.
+	spareServers = 3
+	// leastServers is how many servers a zone keeps while nothing is known of its load.
 	leastServers = 5
 	// standIn is how many regular servers stand in for a zone whose reclaimable ones are gone.
 	standIn = 1
 	// fullLoad is the share of time in which a server reads prompts or fills its places from which another
 	// is ordered.
-	fullLoad = 0.35
+	fullLoad = 0.4
 	// holdFor is how long a higher figure is kept after the load has fallen: longer than a server's boot.
 	holdFor = 10 * time.Second
 	// refusedFor is how long reclaimable servers count as not to be had after an order was refused.
@@ -113,7 +114,7 @@
 
 // need keeps the highest figure of the last while.
 func (p *Planner) need(now time.Time, service, zone string, load float64) int {
-	n := max(leastServers, int(math.Ceil(load/fullLoad)))
+	n := max(leastServers, spareServers+int(math.Ceil(load/fullLoad)))
 	key := [2]string{service, zone}
 	if old, ok := p.peaks[key]; ok && old.count > n && now.Sub(old.at) < holdFor {
 		return old.count
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return t.unanswered(res, err)
 	}
-	out, err := conn.Do(t.ctx, t.outgoing(server), t.body, t.mine)
+	out, err := conn.Do(t.ctx, t.outgoing(server, eff), t.body, t.mine)
 	if err != nil {
 		return t.unanswered(res, err)
 	}
@@ -111,7 +111,7 @@
 }
 
 // outgoing builds the request to a backend server.
-func (t *transfer) outgoing(s backend.Server) *http.Request {
+func (t *transfer) outgoing(s backend.Server, eff dispatch.Effect) *http.Request {
 	h := t.r.Header.Clone()
 	for _, name := range perConnection {
 		delete(h, name)
@@ -131,6 +131,9 @@
 	if t.route.Prompted {
 		o.Urgency = t.req.Tier
 	}
+	if from, ok := (*t.e.servers.Load())[eff.From]; ok {
+		o.FetchFrom = from.Addr
+	}
 	t.e.codec.Encode(h, o)
 	return &http.Request{
 		Method: t.r.Method, URL: &url.URL{Opaque: t.r.RequestURI}, Host: t.r.Host,
--- a/internal/entry/edge/call.go
+++ b/internal/entry/edge/call.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 
 	"shallotramp/internal/fleet/backend"
@@ -36,6 +37,8 @@
 	Urgency int
 	// ResumeAfter is the last event that the caller has, empty for a new stream.
 	ResumeAfter string
+	// FetchFrom is a server whose cache holds more of the prompt; invalid for none.
+	FetchFrom netip.AddrPort
 }
 
 // Answer is what a backend server's answer says in its headers.
--- a/internal/entry/station/duty.go
+++ b/internal/entry/station/duty.go
@@ -182,8 +182,11 @@
 		return
 	}
 	servers := *s.servers.Load()
+	s.mu.Lock()
+	loads := s.loads
+	s.mu.Unlock()
 	for _, svc := range table.Services {
-		for _, o := range d.planner.Plan(now, svc, servers, nil) {
+		for _, o := range d.planner.Plan(now, svc, servers, loads[svc.Name]) {
 			fence, ok := s.duty.Held(time.Now())
 			if !ok {
 				return
--- a/internal/entry/station/follow.go
+++ b/internal/entry/station/follow.go
@@ -4,13 +4,11 @@
 	"context"
 	"time"
 
+	"shallotramp/internal/capacity/supply"
 	"shallotramp/internal/fleet/backend"
-	"shallotramp/internal/fleet/gossip"
 	"shallotramp/internal/platform/mirror"
 	"shallotramp/internal/platform/store"
 	"shallotramp/internal/traffic/dispatch"
-	"shallotramp/internal/traffic/placement"
-	"shallotramp/internal/usage/tally"
 )
 
 // followTable takes a new configuration.
@@ -131,70 +129,6 @@
 	}
 }
 
-// fill completes a packet for another host.
-func (s *Station) fill(p *gossip.Packet, counts bool) {
-	p.TrueTimeMs = s.clock.Now().UnixMilli()
-	if t := s.edge.Table(); t != nil {
-		p.TableVersion = t.Version
-	}
-	p.Leaving = s.stopping.Load()
-	p.Holder = s.duty != nil && s.duty.Valid(time.Now())
-	for id, w := range *s.work.Load() {
-		p.Work = append(p.Work, encodeWork(id, w))
-	}
-	if !counts || s.tally == nil {
-		return
-	}
-	newest := s.tally.Window(s.clock.Now())
-	for w, c := range s.tally.Own() {
-		if w >= newest-toldWindows {
-			p.Counts = append(p.Counts, &gossip.Counts{Window: int64(w), Requests: c})
-		}
-	}
-}
-
-// toldWindows is how many windows before the present one are told to other hosts: those not reported yet.
-const toldWindows = 2
-
-// hear takes another host's packet.
-func (s *Station) hear(p *gossip.Packet, m gossip.Member) {
-	s.clock.Hear(m.Host, time.UnixMilli(p.GetTrueTimeMs()))
-	if s.tally != nil {
-		for _, c := range p.GetCounts() {
-			s.tally.Merge(m.Host, map[tally.Window]tally.Counts{tally.Window(c.GetWindow()): c.GetRequests()})
-		}
-	}
-	if t := s.edge.Table(); t != nil && p.GetTableVersion() > t.Version {
-		if s.heardOf.Swap(p.GetTableVersion()) != p.GetTableVersion() {
-			s.tables.Poke()
-		}
-	}
-	peer := placement.Peer{Host: m.Host, Work: make(map[string]placement.Work, len(p.GetWork()))}
-	for _, w := range p.GetWork() {
-		peer.Work[w.GetServer()] = decodeWork(w)
-	}
-	hosts := len(s.fleet.Members(time.Now())) + 1
-	s.loop.Apply(func(now time.Time) []dispatch.Effect { return s.policy.Peer(now, peer, hosts) })
-}
-
-func encodeWork(server string, w placement.Work) *gossip.Work {
-	out := &gossip.Work{Server: server, Running: int32(w.Running), Held: int32(w.Held)}
-	for _, n := range w.Unread {
-		out.Unread = append(out.Unread, int32(n))
-	}
-	return out
-}
-
-func decodeWork(w *gossip.Work) placement.Work {
-	out := placement.Work{Running: int(w.GetRunning()), Held: int(w.GetHeld())}
-	for i, n := range w.GetUnread() {
-		if i < placement.Tiers {
-			out.Unread[i] = int(n)
-		}
-	}
-	return out
-}
-
 // step looks at the directory and the duties until ctx ends.
 func (s *Station) step(ctx context.Context, done chan<- error) {
 	t := time.NewTicker(stepInterval)
@@ -212,6 +146,23 @@
 	}
 }
 
+// measured takes the load of each service whose servers can be ordered.
+func (s *Station) measured(now time.Time) {
+	t := s.edge.Table()
+	if t == nil {
+		return
+	}
+	loads := map[string]supply.Load{}
+	for name, svc := range t.Services {
+		if svc.Scaling != nil {
+			loads[name] = s.policy.Load(now, name)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads = loads
+}
+
 // refresh drops servers that did not return and takes the policy's outstanding work for other hosts.
 func (s *Station) refresh() {
 	s.mu.Lock()
@@ -222,9 +173,9 @@
 	if s.tally != nil {
 		s.tally.Forget(s.clock.Now())
 	}
-	s.loop.Apply(func(time.Time) []dispatch.Effect {
-		w := s.policy.State()
-		s.work.Store(&w)
+	s.loop.Apply(func(now time.Time) []dispatch.Effect {
+		s.told(s.policy.State(now))
+		s.measured(now)
 		return nil
 	})
 }
--- a/internal/entry/station/station.go
+++ b/internal/entry/station/station.go
@@ -17,6 +17,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"shallotramp/internal/capacity/supply"
 	"shallotramp/internal/entry/edge"
 	"shallotramp/internal/fleet/backend"
 	"shallotramp/internal/fleet/clock"
@@ -94,7 +95,6 @@
 	servers  atomic.Pointer[[]backend.Server]
 	listed   atomic.Bool
 	stopping atomic.Bool
-	work     atomic.Pointer[map[string]placement.Work]
 	heardOf  atomic.Int64
 	// sought is when the lease was looked at or its holder heard; the step owns it.
 	sought time.Time
@@ -103,6 +103,9 @@
 	mu        sync.Mutex
 	directory *directory.Directory
 	storeDown map[string]bool
+	state     placement.Peer
+	seen      []seenPart
+	loads     map[string]supply.Load
 }
 
 // New returns a Station. Nothing happens until [Station.Run].
@@ -112,7 +115,6 @@
 		clock: clock.New(time.Now(), clock.SinceBoot), directory: directory.New(), storeDown: map[string]bool{},
 	}
 	s.servers.Store(&[]backend.Server{})
-	s.work.Store(&map[string]placement.Work{})
 	if cfg.UsageWindow > 0 {
 		s.tally = tally.New(cfg.UsageWindow, s.id)
 	}
--- /dev/null
+++ b/internal/entry/station/word.go
@@ -0,0 +1,147 @@
+package station
+
+import (
+	"time"
+
+	"shallotramp/internal/fleet/gossip"
+	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/placement"
+	"shallotramp/internal/usage/tally"
+)
+
+const (
+	// toldWindows is how many windows before the present one are told to other hosts: those not reported yet.
+	toldWindows = 2
+	// seenTime is how long word of a shared part goes out: each host of another zone is told once in it.
+	seenTime = 1200 * time.Millisecond
+	// milli turns a share into thousandths.
+	milli = 1000
+)
+
+// told takes what the policy tells other hosts now.
+func (s *Station) told(state placement.Peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.seen[:0]
+	for _, x := range s.seen {
+		if state.At.Sub(x.at) < seenTime {
+			kept = append(kept, x)
+		}
+	}
+	for _, x := range state.Seen {
+		kept = append(kept, seenPart{x, state.At})
+	}
+	s.seen, s.state = kept, state
+}
+
+// seenPart is word of a shared part and when it was heard.
+type seenPart struct {
+	placement.Seen
+	at time.Time
+}
+
+// fill completes a packet for another host.
+func (s *Station) fill(p *gossip.Packet, counts bool) {
+	p.TrueTimeMs = s.clock.Now().UnixMilli()
+	if t := s.edge.Table(); t != nil {
+		p.TableVersion = t.Version
+	}
+	p.Leaving = s.stopping.Load()
+	p.Holder = s.duty != nil && s.duty.Valid(time.Now())
+	s.fillState(p)
+	if !counts || s.tally == nil {
+		return
+	}
+	newest := s.tally.Window(s.clock.Now())
+	for w, c := range s.tally.Own() {
+		if w >= newest-toldWindows {
+			p.Counts = append(p.Counts, &gossip.Counts{Window: int64(w), Requests: c})
+		}
+	}
+}
+
+func (s *Station) fillState(p *gossip.Packet) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, w := range s.state.Work {
+		p.Work = append(p.Work, encodeWork(id, w))
+	}
+	p.Busy = make(map[string]int32, len(s.state.Busy))
+	for name, v := range s.state.Busy {
+		p.Busy[name] = int32(v * milli)
+	}
+	parts := map[string]*gossip.Seen{}
+	for _, x := range s.seen {
+		if parts[x.Server] == nil {
+			parts[x.Server] = &gossip.Seen{Server: x.Server}
+			p.Seen = append(p.Seen, parts[x.Server])
+		}
+		parts[x.Server].Parts = append(parts[x.Server].Parts, x.Part)
+	}
+}
+
+// hear takes another host's packet.
+func (s *Station) hear(p *gossip.Packet, m gossip.Member) {
+	s.clock.Hear(m.Host, time.UnixMilli(p.GetTrueTimeMs()))
+	if s.tally != nil {
+		for _, c := range p.GetCounts() {
+			s.tally.Merge(m.Host, map[tally.Window]tally.Counts{tally.Window(c.GetWindow()): c.GetRequests()})
+		}
+	}
+	if t := s.edge.Table(); t != nil && p.GetTableVersion() > t.Version {
+		if s.heardOf.Swap(p.GetTableVersion()) != p.GetTableVersion() {
+			s.tables.Poke()
+		}
+	}
+	peer := decodePeer(p, m)
+	hosts := len(s.fleet.Members(time.Now())) + 1
+	s.loop.Apply(func(now time.Time) []dispatch.Effect { return s.policy.Peer(now, peer, hosts) })
+}
+
+func decodePeer(p *gossip.Packet, m gossip.Member) placement.Peer {
+	out := placement.Peer{
+		Host: m.Host, Zone: m.Zone, Work: make(map[string]placement.Work, len(p.GetWork())),
+		Busy: make(map[string]float64, len(p.GetBusy())),
+	}
+	for _, w := range p.GetWork() {
+		out.Work[w.GetServer()] = decodeWork(w)
+	}
+	for name, v := range p.GetBusy() {
+		out.Busy[name] = float64(v) / milli
+	}
+	for _, x := range p.GetSeen() {
+		for _, part := range x.GetParts() {
+			out.Seen = append(out.Seen, placement.Seen{Server: x.GetServer(), Part: part})
+		}
+	}
+	return out
+}
+
+func encodeWork(server string, w placement.Work) *gossip.Work {
+	return &gossip.Work{Server: server, Running: encodeTiers(w.Running), Unread: encodeTiers(w.Unread), Held: int32(w.Held)}
+}
+
+// encodeTiers leaves out zeros at the end.
+func encodeTiers(in [placement.Tiers]int) []int32 {
+	n := len(in)
+	for n > 0 && in[n-1] == 0 {
+		n--
+	}
+	out := make([]int32, n)
+	for i := range out {
+		out[i] = int32(in[i])
+	}
+	return out
+}
+
+func decodeWork(w *gossip.Work) placement.Work {
+	return placement.Work{Running: decodeTiers(w.GetRunning()), Unread: decodeTiers(w.GetUnread()), Held: int(w.GetHeld())}
+}
+
+func decodeTiers(in []int32) [placement.Tiers]int {
+	var out [placement.Tiers]int
+	for i := range min(len(in), len(out)) {
+		out[i] = int(in[i])
+	}
+	return out
+}
--- a/internal/traffic/placement/estimate.go
+++ b/internal/traffic/placement/estimate.go
@@ -18,9 +18,26 @@
 	maxParts = 4096
 	// peerLifetime is how long another host's word of its outstanding work counts.
 	peerLifetime = 1500 * time.Millisecond
-	// homeShare is the part of a shared prefix that a key's first server is assumed to hold though this host
-	// has not sent it: other hosts send equal keys there.
-	homeShare = 0.6
+	// notHome is the cost of a server that is not the first for a prompt's shared prefix.
+	notHome = 30 * time.Millisecond
+	// toldTokens is the size from which other hosts are told where a shared part went, and maxSeen bounds
+	// the parts in one word.
+	toldTokens = 256
+	maxSeen    = 256
+	// fetchTokens is the least that is worth a fetch from another engine, and fetchTime what a fetch takes.
+	fetchTokens = 512
+	fetchTime   = 15 * time.Millisecond
+	// againPerToken is the cost of a shared token that is read though another engine holds it.
+	againPerToken = 20 * time.Microsecond
+	// doubtfulRate is the rate of failures from which nothing is fetched from a server.
+	doubtfulRate = 0.3
+	// harmPerRunning weighs the delay that a prompt's reading puts on each request that runs beside it: most
+	// bear it within their allowed pause.
+	harmPerRunning = 0.02
+	// lowTierShare divides the unread work of low tiers where it does not come first.
+	lowTierShare = 4
+	// meterTime is the time over which the need for servers is averaged.
+	meterTime = 2 * time.Second
 	// otherPartition is the cost of a long prompt on a server kept for short ones, and the reverse: one
 	// event's delay for those that run there.
 	otherPartition = 150 * time.Millisecond
@@ -41,8 +58,11 @@
 	first    time.Duration
 	cost     time.Duration
 	uncached int
-	full     bool
-	why      string
+	// from holds more of the prompt; again is what is read though another server holds it.
+	from  *server
+	again int
+	full  bool
+	why   string
 }
 
 // choose returns the server with the least cost: the request's own delay, that of the work which runs
@@ -100,20 +120,33 @@
 func (p *Policy) engine(now time.Time, e *entry, s *server) choice {
 	w := p.load(s)
 	l := &e.svc.learned
-	c := choice{uncached: p.uncached(now, e, s), why: "least expected delay"}
+	c := choice{uncached: e.unread(now, s), why: "least expected delay"}
+	p.fetch(now, e, s, &c)
+	running, unread := w.ahead(e.req.Tier)
 	slots := max(s.info.Slots, 1)
-	c.first = l.reading(w.ahead(e.req.Tier)+c.uncached) + l.base + time.Duration(w.Running)*placeTime
-	if over := w.Running + 1 - slots; over > 0 {
+	c.first = l.reading(unread+c.uncached) + l.base + time.Duration(w.all())*placeTime
+	if c.from != nil {
+		c.first += fetchTime
+	}
+	if over := running + 1 - slots; over > 0 {
 		c.first += time.Duration(over) * l.whole / time.Duration(slots)
 	}
-	c.cost = c.first
+	// Less urgent work yields its place, but not for nothing.
+	c.cost = c.first + l.reading(w.Unread[Tiers-1]+w.Unread[Tiers-2])/lowTierShare
+	c.cost += time.Duration(c.again) * againPerToken
+	if over := w.all() + 1 - slots; over > 0 {
+		c.cost += time.Duration(over) * l.whole / time.Duration(slots)
+	}
 	if e.long {
 		// Each running request waits while the prompt is read.
-		c.cost += time.Duration(float64(l.reading(c.uncached)) * harmPerRunning * float64(w.Running))
+		c.cost += time.Duration(float64(l.reading(c.uncached)) * harmPerRunning * float64(w.all()))
 	}
 	if e.long != s.forLong && len(e.svc.servers) > 1 {
 		c.cost += otherPartition
 	}
+	if len(e.req.Parts) > 1 && e.long && !p.home(e, s) {
+		c.cost += notHome
+	}
 	if m := e.svc.engine.CacheTokens; m > 0 && float64(w.Held+e.req.PromptTokens) > fullHeld*float64(m) {
 		c.cost += l.whole
 		c.first += l.whole / 4
@@ -121,25 +154,38 @@
 	return c
 }
 
-// harmPerRunning weighs the delay that a prompt's reading puts on each request that runs beside it: most
-// bear it within their allowed pause.
-const harmPerRunning = 0.02
+// unread estimates the tokens that the server has to read.
+func (e *entry) unread(now time.Time, s *server) int {
+	if len(e.req.Parts) == 0 {
+		return e.req.PromptTokens
+	}
+	return s.cache.missing(now, e.req.Parts)
+}
 
-// uncached estimates the tokens that the server has to read.
-func (p *Policy) uncached(now time.Time, e *entry, s *server) int {
+// fetch finds a server to fetch what it has read and s has not, and estimates what is read again.
+func (p *Policy) fetch(now time.Time, e *entry, s *server, c *choice) {
 	parts := e.req.Parts
-	if len(parts) == 0 {
-		return e.req.PromptTokens
+	if len(parts) == 0 || c.uncached <= parts[len(parts)-1].Tokens {
+		return
+	}
+	best := c.uncached
+	for _, o := range e.svc.servers {
+		if o == s || o.avoid(now) || o.rate(now) > doubtfulRate {
+			continue
+		}
+		if n := o.cache.missing(now, parts); n < best {
+			best, c.from = n, o
+		}
 	}
-	n := s.cache.uncached(now, parts)
-	own := parts[len(parts)-1].Tokens
-	if shared := n - own; shared > 0 && p.home(e, s) {
-		n -= int(homeShare * float64(shared))
+	if c.uncached-best < fetchTokens {
+		c.again, c.from = c.uncached-best, nil
+		return
 	}
-	return n
+	c.uncached = best
 }
 
-// home reports whether s is the first server of the request's shared prefix within its availability zone.
+// home reports whether s is the first server of the request's shared prefix within its availability zone:
+// hosts that do not know where a part is kept send it there.
 func (p *Policy) home(e *entry, s *server) bool {
 	key := affinity(e.req.Parts)
 	mine := rankOf(s.info.ID, key)
@@ -164,8 +210,8 @@
 	w := p.load(s)
 	slots := max(s.info.Slots, 1)
 	c := choice{first: e.svc.learned.whole, why: "least outstanding work"}
-	c.cost = c.first * time.Duration(w.Running) / time.Duration(slots)
-	if over := w.Running + 1 - slots; over > 0 {
+	c.cost = c.first * time.Duration(w.all()) / time.Duration(slots)
+	if over := w.all() + 1 - slots; over > 0 {
 		c.first += e.svc.learned.whole * time.Duration(over) / time.Duration(slots)
 		c.full = over > queuedPerSlot*slots
 	}
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -31,6 +31,8 @@
 	servers  map[string]*server
 	entries  map[request.ID]*entry
 	peers    map[string]Peer
+	// seen tells other hosts where shared parts of prompts went.
+	seen []Seen
 }
 
 var _ dispatch.Core = (*Policy)(nil)
@@ -91,6 +93,8 @@
 	waiting []*entry
 	learned rates
 	repeats budget
+	// reading is the time that the prompts of this host's callers take.
+	reading meter
 }
 
 // Configure adopts a routing table.
@@ -183,7 +187,15 @@
 	e.held = e.req.PromptTokens + min(e.req.MaxTokens, assumedOutput)
 	e.sends++
 	c.server.begin(now, e)
-	return dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: c.server.info.ID, Attempt: e.sends, Why: c.why}
+	out := dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: c.server.info.ID, Attempt: e.sends, Why: c.why}
+	if e.svc.engine != nil {
+		e.svc.reading.add(now, e.svc.learned.reading(c.uncached))
+		p.sawPart(c.server, e.req.Parts)
+	}
+	if c.from != nil {
+		out.From = c.from.info.ID
+	}
+	return out
 }
 
 func (p *Policy) refuse(e *entry, reason dispatch.RefusalReason, after time.Duration, why string) dispatch.Effect {
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"time"
 
 	"shallotramp/internal/fleet/backend"
@@ -30,26 +31,34 @@
 
 // Work is outstanding work on a server.
 type Work struct {
-	// Running counts requests that were sent and have not ended, Held the tokens in memory.
-	Running, Held int
-	// Unread counts the tokens of prompts sent and not read yet, by tier.
-	Unread [Tiers]int
+	// Held counts the tokens in memory.
+	Held int
+	// Running counts requests that were sent and have not ended, Unread the tokens of prompts sent and not
+	// read yet, both by tier.
+	Running, Unread [Tiers]int
 }
 
 func (w *Work) add(o Work) {
-	w.Running += o.Running
 	w.Held += o.Held
-	for i, n := range o.Unread {
-		w.Unread[i] += n
+	for i := range Tiers {
+		w.Running[i] += o.Running[i]
+		w.Unread[i] += o.Unread[i]
 	}
 }
 
-// ahead returns the unread tokens that come before a request of the tier.
-func (w *Work) ahead(tier int) int {
-	n := 0
+// ahead returns the requests and the unread tokens that come before a request of the tier: engines take the
+// more urgent first.
+func (w *Work) ahead(tier int) (running, unread int) {
 	for i := range place(tier) + 1 {
-		n += w.Unread[i]
+		running += w.Running[i]
+		unread += w.Unread[i]
 	}
+	return running, unread
+}
+
+// all returns the requests of all tiers.
+func (w *Work) all() int {
+	n, _ := w.ahead(Tiers - 1)
 	return n
 }
 
@@ -71,10 +80,13 @@
 }
 
 func (s *server) begin(now time.Time, e *entry) {
-	s.own.add(Work{Running: 1, Held: e.held})
+	s.own.Held += e.held
+	s.own.Running[place(e.req.Tier)]++
 	s.own.Unread[place(e.req.Tier)] += e.uncached
 	s.open[e.req.ID] = e
-	s.cache.touch(now, e.req.Parts)
+	for _, part := range e.req.Parts {
+		s.cache.touch(now, part.ID)
+	}
 }
 
 func (s *server) firstToken(now time.Time, e *entry) {
@@ -83,7 +95,8 @@
 }
 
 func (s *server) end(now time.Time, e *entry, o request.Outcome) {
-	s.own.add(Work{Running: -1, Held: -e.held})
+	s.own.Held -= e.held
+	s.own.Running[place(e.req.Tier)]--
 	if !e.first {
 		s.own.Unread[place(e.req.Tier)] -= e.uncached
 	}
@@ -118,55 +131,127 @@
 
 func newCache() cache { return cache{used: map[uint64]time.Time{}} }
 
-func (c *cache) touch(now time.Time, parts []request.Part) {
-	for _, part := range parts {
-		c.used[part.ID] = now
+func (c *cache) touch(now time.Time, id uint64) {
+	c.used[id] = now
+	if len(c.used) <= maxParts {
+		return
 	}
-	if len(c.used) > maxParts {
-		for id, t := range c.used {
-			if now.Sub(t) > cacheLifetime {
-				delete(c.used, id)
-			}
+	for id, t := range c.used {
+		if now.Sub(t) > cacheLifetime {
+			delete(c.used, id)
 		}
 	}
 }
 
-// uncached returns the tokens of the parts after the first that the server is not known to keep.
-func (c *cache) uncached(now time.Time, parts []request.Part) int {
+// missing returns the tokens from the first part on that the server is not known to keep.
+func (c *cache) missing(now time.Time, parts []request.Part) int {
 	n := 0
-	missed := false
 	for _, part := range parts {
 		t, ok := c.used[part.ID]
-		if missed || !ok || now.Sub(t) > cacheLifetime {
-			missed = true
+		if n > 0 || !ok || now.Sub(t) > cacheLifetime {
 			n += part.Tokens
 		}
 	}
 	return n
 }
 
+// Seen tells that a server was sent a prompt with a shared part.
+type Seen struct {
+	Server string
+	Part   uint64
+}
+
+// sawPart notes for other hosts where a shared part went.
+func (p *Policy) sawPart(s *server, parts []request.Part) {
+	for i, part := range parts {
+		if i == len(parts)-1 && i > 0 || part.Tokens < toldTokens {
+			continue
+		}
+		p.seen = append(p.seen, Seen{s.info.ID, part.ID})
+	}
+	if len(p.seen) > maxSeen {
+		p.seen = p.seen[len(p.seen)-maxSeen:]
+	}
+}
+
 // Peer is what another host tells of its outstanding work.
 type Peer struct {
 	Host string
 	At   time.Time
 	Work map[string]Work
+	Seen []Seen
+	// Busy is the need of the host's callers, by service.
+	Busy map[string]float64
+	Zone string
 }
 
 // Peer notes what another host tells.
 func (p *Policy) Peer(now time.Time, peer Peer, hosts int) []dispatch.Effect {
 	peer.At = now
+	for _, seen := range peer.Seen {
+		if s := p.servers[seen.Server]; s != nil {
+			s.cache.touch(now, seen.Part)
+		}
+	}
+	peer.Seen = nil
 	p.peers[peer.Host] = peer
 	p.hosts = max(hosts, 1)
 	return nil
 }
 
-// State returns this host's outstanding work by server.
-func (p *Policy) State() map[string]Work {
-	out := make(map[string]Work, len(p.servers))
+// State returns this host's outstanding work and the parts that were sent since the last call.
+func (p *Policy) State(now time.Time) Peer {
+	out := Peer{At: now, Zone: p.zone, Work: make(map[string]Work, len(p.servers)), Seen: p.seen, Busy: map[string]float64{}}
 	for id, s := range p.servers {
 		if s.own != (Work{}) {
-			out[id] = s.own
+			out.Work[id] = s.own
+		}
+	}
+	for name, s := range p.services {
+		if s.engine != nil {
+			out.Busy[name] = p.busy(now, s)
 		}
 	}
+	p.seen = nil
 	return out
 }
+
+// Load returns the need of a service's callers by availability zone, in servers that are busy to the full.
+func (p *Policy) Load(now time.Time, service string) map[string]float64 {
+	out := map[string]float64{}
+	if s := p.services[service]; s != nil {
+		out[p.zone] = p.busy(now, s)
+	}
+	for _, peer := range p.peers {
+		out[peer.Zone] += peer.Busy[service]
+	}
+	return out
+}
+
+// busy returns the need of this host's callers: the time to read their prompts and the places that they fill.
+func (p *Policy) busy(now time.Time, s *service) float64 {
+	running, slots := 0, 1
+	for _, x := range s.servers {
+		running += x.own.all()
+		slots = max(slots, x.info.Slots)
+	}
+	return s.reading.rate(now) + float64(running)/float64(slots)
+}
+
+// meter is an exponentially weighted rate of work, in seconds a second.
+type meter struct {
+	value float64
+	at    time.Time
+}
+
+func (m *meter) add(now time.Time, work time.Duration) {
+	m.value = m.rate(now) + work.Seconds()/meterTime.Seconds()
+	m.at = now
+}
+
+func (m *meter) rate(now time.Time) float64 {
+	if m.value == 0 {
+		return 0
+	}
+	return m.value * math.Exp(-now.Sub(m.at).Seconds()/meterTime.Seconds())
+}
