station, directory: SIGHUP reloads the settings; entries are kept after an outage only

Change: settings are read again at SIGHUP and when the file changes; the directory keeps missing entries only after failed calls; patience counts from the break.

--- a/internal/command/cli/edge.go
+++ b/internal/command/cli/edge.go
@@ -1,10 +1,16 @@
 package cli
 
 import (
+	"context"
 	"net/netip"
 	"os"
+	"os/signal"
+	"reflect"
 	"runtime/debug"
+	"syscall"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
@@ -19,6 +25,8 @@
 	// leaseShare is the term of the duties' lease, in percent of the shortest time between two holders: a
 	// successor has to find the holder silent first.
 	leaseShare = 70
+	// settingsInterval is the time between two looks at the settings file, which may change without a signal.
+	settingsInterval = 2 * time.Second
 	// memoryShare is the part of the process's limit from which the collector works harder.
 	memoryShare = 0.7
 )
@@ -42,21 +50,64 @@
 	out := diode.NewWriter(os.Stdout, logLines, 0, nil)
 	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
-	count := func(string, error) {}
+	s := station.New(c.config(set), c.platform(set), log)
+	ctx, stop := context.WithCancel(g.ctx)
+	watched := make(chan error, 1)
+	go c.watch(ctx, set, s, log, watched)
+	err = s.Run(ctx)
+	stop()
+	return errors.CombineErrors(err, <-watched)
+}
+
+// platform connects the host with the platform that the settings name.
+func (c *EdgeCommand) platform(set platform.Settings) station.Platform {
 	p := station.Platform{
-		Store:       platform.NewStore(set.Store, count),
+		Store:       platform.NewStore(set.Store, nil),
 		Kinds:       station.Kinds{Table: platform.ConfigKind, TableName: platform.ConfigName, Servers: platform.ServersKind},
 		DecodeTable: platform.DecodeTable, DecodeServer: platform.DecodeServer, Codec: platform.Codec{},
 	}
 	if set.ReportsUsage || set.OrdersServers {
-		p.Duties = platform.NewDuties(set.Duties, set.Host, count)
+		p.Duties = platform.NewDuties(set.Duties, set.Host, nil)
 	}
-	s := station.New(station.Config{
+	return p
+}
+
+// config translates the platform's settings into the host's.
+func (c *EdgeCommand) config(set platform.Settings) station.Config {
+	b := set.Bounds
+	return station.Config{
 		Host: set.Host, Zone: set.Zone, IP: set.IP, Callers: set.Callers, Ready: set.Ready,
 		Metrics: netip.AddrPortFrom(set.IP, c.MetricsPort), FleetPort: set.FleetPort, Seeds: set.Seeds,
-		Retry: placement.RetryLimits{Ratio: set.Bounds.RetryRatio, Slack: set.Bounds.RetrySlack, Window: set.Bounds.RetryWindow},
-		Grace: set.Bounds.Grace, Apply: set.Bounds.Apply, Term: leaseShare * set.Bounds.Lease / 100, UsageWindow: set.Bounds.UsageWindow, UsageDue: set.Bounds.UsageDue,
+		Retry: placement.RetryLimits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow},
+		Grace: b.Grace, Apply: b.Apply, Term: leaseShare * b.Lease / 100, UsageWindow: b.UsageWindow, UsageDue: b.UsageDue,
 		ReportsUsage: set.ReportsUsage, Orders: set.OrdersServers,
-	}, p, log)
-	return s.Run(g.ctx)
+	}
+}
+
+// watch reads the settings again at SIGHUP and when the file has changed without it.
+func (c *EdgeCommand) watch(ctx context.Context, set platform.Settings, s *station.Station, log zerolog.Logger, done chan<- error) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(settingsInterval)
+	defer t.Stop()
+	for {
+		cause := "SIGHUP"
+		select {
+		case <-hup:
+		case <-t.C:
+			cause = "FileChanged"
+		case <-ctx.Done():
+			done <- nil
+			return
+		}
+		next, err := platform.ReadSettings(c.Settings)
+		switch {
+		case err != nil:
+			log.Error().Str("Event", "ReloadFailed").Str("Cause", cause).Err(err).Send()
+		case cause == "SIGHUP" || !reflect.DeepEqual(set, next):
+			set = next
+			s.Reload(c.config(set), cause)
+		}
+	}
 }
--- a/internal/entry/station/drain.go
+++ b/internal/entry/station/drain.go
@@ -27,7 +27,7 @@
 		s.resign()
 	}
 	s.log.Info().Str("Event", "Stopping").Int64("Open", s.edge.Open()).Send()
-	end := began.Add(s.cfg.Grace - killMargin)
+	end := began.Add(s.config().Grace - killMargin)
 	quiet := time.Time{}
 	for now := time.Now(); now.Before(end); now = time.Now() {
 		if now.Sub(began) > lingerTime {
--- a/internal/entry/station/follow.go
+++ b/internal/entry/station/follow.go
@@ -62,6 +62,9 @@
 // followServers takes changes of the backend servers' entries.
 func (s *Station) followServers(u mirror.Update) {
 	if !s.heard("Servers", u) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.directory.Away()
 		return
 	}
 	s.mu.Lock()
--- a/internal/fleet/directory/directory.go
+++ b/internal/fleet/directory/directory.go
@@ -14,11 +14,8 @@
 
 const (
 	// returnGrace is how long after the store's return a missing entry may come back: live servers renew
-	// theirs within two seconds.
-	returnGrace = 2 * time.Second
-	// staleAfter is the silence of the store from which entries may have lapsed unseen: less than three of
-	// the shortest heartbeats.
-	staleAfter = 2 * time.Second
+	// theirs within about two seconds, and a server that is gone must get nothing more after them.
+	returnGrace = 1800 * time.Millisecond
 )
 
 // Directory is the list of servers. The zero value is not usable; create it with [New].
@@ -26,7 +23,7 @@
 	servers map[string]backend.Server
 	// missing servers had an entry before the store was away, each with the time from which it is gone.
 	missing map[string]time.Time
-	heard   time.Time
+	away    bool
 	grace   time.Time
 }
 
@@ -35,12 +32,15 @@
 	return &Directory{servers: map[string]backend.Server{}, missing: map[string]time.Time{}}
 }
 
-// Heard notes an answer of the store. After a long silence, entries that are missing get time to return.
+// Away notes that the store does not answer: entries may lapse unseen.
+func (d *Directory) Away() { d.away = true }
+
+// Heard notes an answer of the store. After it was away, entries that are missing get time to return.
 func (d *Directory) Heard(now time.Time) {
-	if !d.heard.IsZero() && now.Sub(d.heard) > staleAfter {
+	if d.away {
 		d.grace = now.Add(returnGrace)
 	}
-	d.heard = now
+	d.away = false
 }
 
 // Replace takes a whole list.
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -78,6 +78,13 @@
 	return &Exchange{self: self, fill: fill, hear: hear, members: map[netip.Addr]*peer{}}
 }
 
+// SetSeeds replaces the hosts that are asked while no other is known.
+func (x *Exchange) SetSeeds(seeds []netip.Addr) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.self.Seeds = seeds
+}
+
 // Members returns the other hosts that were heard of late.
 func (x *Exchange) Members(now time.Time) []Member {
 	x.mu.Lock()
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -53,6 +53,9 @@
 // WithRetryLimits sets the bound on repeats.
 func WithRetryLimits(l RetryLimits) Option { return func(p *Policy) { p.limits = l } }
 
+// SetRetryLimits replaces the bound on repeats.
+func (p *Policy) SetRetryLimits(l RetryLimits) { p.limits = l }
+
 // New returns a Policy that knows no server. Equal seeds and events give equal effects.
 func New(seed uint64, opts ...Option) *Policy {
 	p := &Policy{
@@ -83,6 +86,9 @@
 	outlook time.Duration
 	first   bool
 	long    bool
+	// waits is when the caller began to wait for the next event: its arrival, or the end of a stream that
+	// is to be resumed.
+	waits time.Time
 }
 
 // service is a group of servers that run the same.
@@ -158,7 +164,7 @@
 
 // Arrive implements [dispatch.Core].
 func (p *Policy) Arrive(now time.Time, r *request.Request) []dispatch.Effect {
-	e := &entry{req: r, svc: p.service(r.Pool)}
+	e := &entry{req: r, svc: p.service(r.Pool), waits: r.Arrived}
 	p.entries[r.ID] = e
 	e.svc.repeats.request(now, p.limits.Window)
 	e.long = e.svc.engine != nil && r.PromptTokens >= longPrompt
@@ -260,6 +266,9 @@
 		}
 	case request.Broken, request.Failed:
 		e.runs++
+		if r.Delivered > 0 {
+			e.waits = now
+		}
 		if !e.req.Idempotent || r.Delivered > 0 && !r.Resumable || e.runs >= e.req.Attempts ||
 			!e.svc.repeats.take(now, p.limits, p.hosts) {
 			return []dispatch.Effect{p.refuse(e, dispatch.Exhausted, 0, "no attempt is left")}
--- a/internal/traffic/placement/queue.go
+++ b/internal/traffic/placement/queue.go
@@ -32,7 +32,7 @@
 		return left
 	}
 	leave := max(leaveGap, leaveGoals*e.req.Goal, leavePauses*e.req.GapTarget)
-	return min(left, leave-now.Sub(e.req.Arrived)-spareTime)
+	return min(left, leave-now.Sub(e.waits)-spareTime)
 }
 
 // comeBack returns when a refused caller should ask again: when the excess of work is done, spread by chance.
