feed: two hosts of a zone follow the store, the others follow them

Change: feed serves what a host has from the store itself to its zone, with the same list-and-watch; whoever finds no fresh neighbour asks the store. Far packets grow rarer with the fleet; servers stay as found until their load is known.

--- a/internal/capacity/supply/supply.go
+++ b/internal/capacity/supply/supply.go
@@ -26,6 +26,10 @@
 	fullLoad = 0.4
 	// holdFor is how long a higher figure is kept after the load has fallen: longer than a server's boot.
 	holdFor = 10 * time.Second
+	// someLoad is the load in servers from which a service counts as used, and knownAfter how long after it
+	// the load decides; before, what the operators had set up stays.
+	someLoad   = 0.05
+	knownAfter = 10 * time.Second
 	// refusedFor is how long reclaimable servers count as not to be had after an order was refused.
 	refusedFor = 3 * time.Second
 	// repeatAfter is the time after which an order that has not shown its effect is sent again.
@@ -48,7 +52,9 @@
 type Planner struct {
 	places map[Place]*place
 	peaks  map[[2]string]peak
-	begun  time.Time
+	// first is how many servers a zone had at first, since when a service's load began.
+	first map[[2]string]int
+	since map[string]time.Time
 }
 
 type place struct {
@@ -65,7 +71,7 @@
 
 // New returns a Planner that has ordered nothing.
 func New() *Planner {
-	return &Planner{places: map[Place]*place{}, peaks: map[[2]string]peak{}}
+	return &Planner{places: map[Place]*place{}, peaks: map[[2]string]peak{}, first: map[[2]string]int{}, since: map[string]time.Time{}}
 }
 
 // Load is the need of a zone's callers in servers, each busy to the full.
@@ -94,7 +100,7 @@
 
 // wish returns the regular and the reclaimable servers that a zone should have.
 func (p *Planner) wish(now time.Time, s *route.Service, zone string, servers []backend.Server, load float64) (regular, spot int) {
-	n := min(max(p.need(now, s.Name, zone, load), s.Scaling.Min), s.Scaling.Max)
+	n := min(max(p.need(now, s.Name, zone, load, p.found(servers, s.Name, zone)), s.Scaling.Min), s.Scaling.Max)
 	if s.Scaling.SpotPrice <= 0 {
 		return n, 0
 	}
@@ -112,10 +118,32 @@
 	return regular, spot
 }
 
+// found returns the most servers that a zone was seen with before its load was known.
+func (p *Planner) found(servers []backend.Server, service, zone string) int {
+	key := [2]string{service, zone}
+	n := count(servers, service, zone, false) + count(servers, service, zone, true)
+	if p.first[key] == 0 {
+		p.first[key] = n
+	}
+	return p.first[key]
+}
+
+// loaded reports whether a service has had load for long enough to go by it.
+func (p *Planner) loaded(now time.Time, service string, load float64) bool {
+	if p.since[service].IsZero() && load > someLoad {
+		p.since[service] = now
+	}
+	since := p.since[service]
+	return !since.IsZero() && now.Sub(since) > knownAfter
+}
+
 // need keeps the highest figure of the last while.
-func (p *Planner) need(now time.Time, service, zone string, load float64) int {
+func (p *Planner) need(now time.Time, service, zone string, load float64, found int) int {
 	n := max(leastServers, spareServers+int(math.Ceil(load/fullLoad)))
 	key := [2]string{service, zone}
+	if !p.loaded(now, service, load) {
+		n = max(n, found)
+	}
 	if old, ok := p.peaks[key]; ok && old.count > n && now.Sub(old.at) < holdFor {
 		return old.count
 	}
--- a/internal/entry/station/station.go
+++ b/internal/entry/station/station.go
@@ -24,6 +24,7 @@
 	"shallotramp/internal/fleet/directory"
 	"shallotramp/internal/fleet/gossip"
 	"shallotramp/internal/fleet/lease"
+	"shallotramp/internal/platform/feed"
 	"shallotramp/internal/platform/mirror"
 	"shallotramp/internal/platform/store"
 	"shallotramp/internal/traffic/dispatch"
@@ -89,6 +90,7 @@
 	tally  *tally.Tally
 	leases *lease.Manager
 	duty   *lease.Lease
+	feed   *feed.Feed
 	tables *mirror.Mirror
 	list   *mirror.Mirror
 
@@ -122,8 +124,16 @@
 	s.loop = dispatch.NewLoop(s.policy)
 	s.edge = edge.New(cfg.Zone, p.Codec, s.loop, edge.WithLog(log), edge.WithUsage(counter{s}))
 	s.fleet = gossip.New(gossip.Self{Host: s.id, Zone: cfg.Zone, Addr: cfg.IP, Port: cfg.FleetPort, Seeds: cfg.Seeds}, s.fill, s.hear)
-	s.tables = mirror.New(p.Store, p.Kinds.Table, cfg.Apply, relistInterval, s.followTable)
-	s.list = mirror.New(p.Store, p.Kinds.Servers, cfg.Apply, relistInterval, s.followServers)
+	s.feed = feed.New(cfg.Apply)
+	tables, list := feed.NewSource(p.Store, s.neighbours), feed.NewSource(p.Store, s.neighbours)
+	s.tables = mirror.New(tables, p.Kinds.Table, cfg.Apply, relistInterval, func(u mirror.Update) {
+		s.feed.Apply(p.Kinds.Table, u, tables.Direct(), time.Now())
+		s.followTable(u)
+	})
+	s.list = mirror.New(list, p.Kinds.Servers, cfg.Apply, relistInterval, func(u mirror.Update) {
+		s.feed.Apply(p.Kinds.Servers, u, list.Direct(), time.Now())
+		s.followServers(u)
+	}, mirror.WithPause(coalesceTime))
 	if p.Duties != nil {
 		s.leases = lease.NewManager(p.Store, s.id, lease.WithConfig(leaseConfig(cfg.Term)), lease.WithObserver(s.leaseChanged))
 		s.leases.SetEager(false)
@@ -145,6 +155,11 @@
 const (
 	// relistInterval is the time between two whole lists.
 	relistInterval = 20 * time.Second
+	// coalesceTime is the pause after a change of the servers' list: changes come in groups, and each call is
+	// paid for.
+	coalesceTime = 150 * time.Millisecond
+	// watchers is how many hosts of an availability zone follow the store for the others.
+	watchers = 2
 	// stepInterval is how often the host looks at its duties and its directory.
 	stepInterval = 250 * time.Millisecond
 	// readHeaderTimeout bounds the head of a caller's request. Callers are slower only when they are cut off.
@@ -184,6 +199,10 @@
 	if err != nil {
 		return err
 	}
+	fleet, err := s.listen(netip.AddrPortFrom(s.cfg.IP, s.cfg.FleetPort), s.feed)
+	if err != nil {
+		return err
+	}
 	s.log.Info().Str("Event", "Started").Str("Host", s.cfg.Host).Str("Process", s.id).Stringer("Callers", s.cfg.Callers).Send()
 	select {
 	case <-ctx.Done():
@@ -197,6 +216,7 @@
 	}
 	_ = ready.Close() // The process ends; open checks of readiness need no answer.
 	_ = metrics.Close()
+	_ = fleet.Close()
 	s.log.Info().Str("Event", "Stopped").Send()
 	return err
 }
--- a/internal/entry/station/word.go
+++ b/internal/entry/station/word.go
@@ -1,6 +1,8 @@
 package station
 
 import (
+	"net/netip"
+	"slices"
 	"time"
 
 	"shallotramp/internal/fleet/gossip"
@@ -14,6 +16,8 @@
 	toldWindows = 2
 	// seenTime is how long word of a shared part goes out: each host of another zone is told once in it.
 	seenTime = 1200 * time.Millisecond
+	// neighbourSilence is how long a silent host still counts as following the store.
+	neighbourSilence = 1500 * time.Millisecond
 	// milli turns a share into thousandths.
 	milli = 1000
 )
@@ -145,3 +149,26 @@
 	}
 	return out
 }
+
+// neighbours returns the hosts that follow the store for this one: the first of its availability zone by
+// address. A host that is one of them, or hears of none, asks the store itself.
+func (s *Station) neighbours() []netip.AddrPort {
+	var addrs []netip.Addr
+	for _, m := range s.fleet.Members(time.Now()) {
+		if m.Zone == s.cfg.Zone && !m.Leaving && time.Since(m.Heard) < neighbourSilence {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	slices.SortFunc(addrs, netip.Addr.Compare)
+	out := make([]netip.AddrPort, 0, watchers)
+	for _, a := range addrs {
+		if len(out) == watchers {
+			break
+		}
+		out = append(out, netip.AddrPortFrom(a, s.cfg.FleetPort))
+	}
+	if len(out) < watchers || s.cfg.IP.Less(out[watchers-1].Addr()) {
+		return nil
+	}
+	return out
+}
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -243,7 +243,8 @@
 	for _, p := range due {
 		p.sent = now
 		far := p.Zone != x.self.Zone
-		out = append(out, target{addr: p.Addr, full: far || p.Holder || x.turn%int(farInterval/nearInterval) == 0})
+		full := p.Holder || far && len(x.members) <= fewHosts || !far && x.turn%int(farInterval/nearInterval) == 0
+		out = append(out, target{addr: p.Addr, full: full})
 	}
 	return out, known
 }
@@ -264,5 +265,6 @@
 	case p.Holder:
 		return farInterval / 2
 	}
-	return farInterval
+	// In a large fleet each host of another zone is told less often: the bytes grow with the hosts only.
+	return farInterval * time.Duration(max(1, len(x.members)/fewHosts))
 }
--- /dev/null
+++ b/internal/platform/feed/source.go
@@ -0,0 +1,145 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/platform/mirror"
+	"shallotramp/internal/platform/store"
+)
+
+const (
+	// listTimeout bounds the reading of a list from a neighbour, and waitSlack what a wait may take longer.
+	listTimeout = 500 * time.Millisecond
+	waitSlack   = 400 * time.Millisecond
+	// avoidFor is how long a neighbour that failed is not asked.
+	avoidFor = 3 * time.Second
+)
+
+// Source reads objects from neighbours that have them from the store, or from the store. It implements
+// [mirror.Source]. Its methods are safe for concurrent use.
+type Source struct {
+	store mirror.Source
+	// neighbours returns the hosts to ask, none if this host is to ask the store itself.
+	neighbours func() []netip.AddrPort
+	http       *http.Client
+
+	mu     sync.Mutex
+	failed map[netip.AddrPort]time.Time
+	direct bool
+}
+
+var _ mirror.Source = (*Source)(nil)
+
+// NewSource returns a Source.
+func NewSource(st mirror.Source, neighbours func() []netip.AddrPort) *Source {
+	return &Source{
+		store: st, neighbours: neighbours, failed: map[netip.AddrPort]time.Time{},
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: listTimeout / 2}).DialContext,
+			MaxIdleConnsPerHost: 2, DisableCompression: true,
+		}},
+	}
+}
+
+// Direct reports whether the last answer came from the store itself.
+func (s *Source) Direct() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.direct
+}
+
+// List implements [mirror.Source].
+func (s *Source) List(ctx context.Context, kind string) ([]store.Object, string, error) {
+	if p, err := s.ask(ctx, listTimeout, kind, nil); err == nil {
+		return p.Objects, p.Version, nil
+	}
+	return s.store.List(ctx, kind)
+}
+
+// Changes implements [mirror.Source].
+func (s *Source) Changes(ctx context.Context, kind, version string, wait time.Duration) ([]store.Event, string, error) {
+	p, err := s.ask(ctx, wait+waitSlack, kind, url.Values{"After": {version}, "Wait": {wait.String()}})
+	switch {
+	case err == nil:
+		return p.Events, p.Version, nil
+	case store.Failed(err, store.Expired):
+		return nil, "", err
+	}
+	return s.store.Changes(ctx, kind, version, wait)
+}
+
+// ask asks the first neighbour that has not failed of late.
+func (s *Source) ask(ctx context.Context, timeout time.Duration, kind string, query url.Values) (Page, error) {
+	for _, n := range s.neighbours() {
+		if s.avoided(n) {
+			continue
+		}
+		p, err := s.get(ctx, timeout, n, kind, query)
+		if err != nil && ctx.Err() == nil && !store.Failed(err, store.Expired) {
+			s.avoid(n)
+			continue
+		}
+		s.note(false)
+		return p, err
+	}
+	s.note(true)
+	return Page{}, errNoNeighbour
+}
+
+var errNoNeighbour = errors.New("no neighbour has the objects; ask the store")
+
+func (s *Source) note(direct bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.direct = direct
+}
+
+func (s *Source) avoided(n netip.AddrPort) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.failed[n]) < avoidFor
+}
+
+func (s *Source) avoid(n netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a, t := range s.failed {
+		if time.Since(t) > avoidFor {
+			delete(s.failed, a)
+		}
+	}
+	s.failed[n] = time.Now()
+}
+
+func (s *Source) get(ctx context.Context, timeout time.Duration, n netip.AddrPort, kind string, query url.Values) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: n.String(), Path: Path + kind, RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return Page{}, err
+	}
+	res, err := s.http.Do(req)
+	if err != nil {
+		return Page{}, err
+	}
+	defer func() { _ = res.Body.Close() }() // The body was read whole or the call failed already.
+	switch res.StatusCode {
+	case http.StatusOK:
+	case http.StatusGone:
+		return Page{}, &store.Error{Reason: store.Expired, Kind: kind}
+	default:
+		return Page{}, &store.Error{Reason: store.Unavailable, Kind: kind, Cause: errors.Newf("neighbour %s: status %d", n, res.StatusCode)}
+	}
+	var p Page
+	return p, json.NewDecoder(res.Body).Decode(&p)
+}
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -49,12 +49,23 @@
 	poke   chan struct{}
 	listed time.Time
 	delay  time.Duration
+	pause  time.Duration
 }
 
+// Option changes a [Mirror].
+type Option func(*Mirror)
+
+// WithPause waits after each change before the next call, so that changes that come in groups take one call.
+func WithPause(d time.Duration) Option { return func(m *Mirror) { m.pause = d } }
+
 // New returns a Mirror that tells out of each update, on its own goroutine. A call waits up to wait for
 // changes, and all objects are listed again every relist, in case a change was not told.
-func New(source Source, kind string, wait, relist time.Duration, out func(Update)) *Mirror {
-	return &Mirror{source: source, kind: kind, wait: wait, relist: relist, out: out, poke: make(chan struct{}, 1)}
+func New(source Source, kind string, wait, relist time.Duration, out func(Update), opts ...Option) *Mirror {
+	m := &Mirror{source: source, kind: kind, wait: wait, relist: relist, out: out, poke: make(chan struct{}, 1)}
+	for _, o := range opts {
+		o(m)
+	}
+	return m
 }
 
 // Poke lists all objects soon, for there is word of a change that was not seen.
@@ -129,9 +140,21 @@
 		return version
 	}
 	m.out(Update{Events: events, Version: at, Sent: sent})
+	if len(events) > 0 && m.pause > 0 {
+		sleep(ctx, m.pause)
+	}
 	return at
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // failed waits before the next call, which lists all objects: changes may have been missed.
 func (m *Mirror) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
@@ -140,10 +163,7 @@
 	m.out(Update{Err: err})
 	m.listed = time.Time{}
 	m.delay = min(max(2*m.delay, firstDelay), maxDelay)
-	select {
-	case <-time.After(m.delay):
-	case <-ctx.Done():
-	}
+	sleep(ctx, m.delay)
 }
 
 // older reports whether version a comes before b. Versions of this store are numbers.
