supply: orders wait until the list of servers is whole

Change: no order before two heartbeats; a zone keeps what it was found with until the load has been known for 10 s; regular servers go when half of the reclaimable ones are there; one order a second and place.

--- a/internal/capacity/supply/supply.go
+++ b/internal/capacity/supply/supply.go
@@ -21,11 +21,17 @@
 	leastServers = 5
 	// standIn is how many regular servers stand in for a zone whose reclaimable ones are gone.
 	standIn = 1
+	// enoughShare is the part of the wanted servers, one in so many, that lets the regular ones go.
+	enoughShare = 2
 	// fullLoad is the share of time in which a server reads prompts or fills its places from which another
 	// is ordered.
 	fullLoad = 0.4
 	// holdFor is how long a higher figure is kept after the load has fallen: longer than a server's boot.
 	holdFor = 10 * time.Second
+	// settleFor is how long the list of servers may take to be whole: each writes its entry at a heartbeat.
+	settleFor = 2200 * time.Millisecond
+	// orderInterval is the least time between two orders for a place.
+	orderInterval = time.Second
 	// someLoad is the load in servers from which a service counts as used, and knownAfter how long after it
 	// the load decides; before, what the operators had set up stays.
 	someLoad   = 0.05
@@ -52,8 +58,9 @@
 type Planner struct {
 	places map[Place]*place
 	peaks  map[[2]string]peak
-	// first is how many servers a zone had at first, since when a service's load began.
-	first map[[2]string]int
+	begun time.Time
+	// found is how many servers a zone had at first, since when a service's load began.
+	found map[[2]string]int
 	since map[string]time.Time
 }
 
@@ -71,7 +78,7 @@
 
 // New returns a Planner that has ordered nothing.
 func New() *Planner {
-	return &Planner{places: map[Place]*place{}, peaks: map[[2]string]peak{}, first: map[[2]string]int{}, since: map[string]time.Time{}}
+	return &Planner{places: map[Place]*place{}, peaks: map[[2]string]peak{}, found: map[[2]string]int{}, since: map[string]time.Time{}}
 }
 
 // Load is the need of a zone's callers in servers, each busy to the full.
@@ -83,12 +90,19 @@
 		return nil
 	}
 	var out []Order
+	if p.begun.IsZero() {
+		p.begun = now
+	}
 	zones := make([]string, 0, len(s.Scaling.Prices))
 	for z := range s.Scaling.Prices {
 		zones = append(zones, z)
 	}
 	slices.SortFunc(zones, strings.Compare)
 	for _, z := range zones {
+		p.find(now, servers, s.Name, z, load[z])
+		if now.Sub(p.begun) < settleFor {
+			continue
+		}
 		regular, spot := p.wish(now, s, z, servers, load[z])
 		if s.Scaling.SpotPrice > 0 {
 			out = p.order(now, out, Place{s.Name, z, true}, spot, count(servers, s.Name, z, true))
@@ -100,32 +114,28 @@
 
 // wish returns the regular and the reclaimable servers that a zone should have.
 func (p *Planner) wish(now time.Time, s *route.Service, zone string, servers []backend.Server, load float64) (regular, spot int) {
-	n := min(max(p.need(now, s.Name, zone, load, p.found(servers, s.Name, zone)), s.Scaling.Min), s.Scaling.Max)
+	n := min(max(p.need(now, s.Name, zone, load), s.Scaling.Min), s.Scaling.Max)
 	if s.Scaling.SpotPrice <= 0 {
 		return n, 0
 	}
-	ready := count(servers, s.Name, zone, true)
-	spot = n
-	if ready >= min(n, leastServers) {
-		return 0, spot
-	}
-	// Until reclaimable servers are there, the regular ones stay or stand in.
-	has := count(servers, s.Name, zone, false)
-	regular = min(max(has, standIn), max(n-ready, 0))
-	if regular+spot > s.Scaling.Max {
-		spot = s.Scaling.Max - regular
+	ready, has := count(servers, s.Name, zone, true), count(servers, s.Name, zone, false)
+	if ready*enoughShare < n {
+		// Regular servers that are there stay until reclaimable ones have come; some stand in for a zone
+		// that has none.
+		regular = min(has, n-ready)
+		if ready == 0 {
+			regular = max(regular, standIn)
+		}
 	}
-	return regular, spot
+	return regular, min(n, s.Scaling.Max-regular)
 }
 
-// found returns the most servers that a zone was seen with before its load was known.
-func (p *Planner) found(servers []backend.Server, service, zone string) int {
+// find notes the most servers that a zone was seen with before its load was known.
+func (p *Planner) find(now time.Time, servers []backend.Server, service, zone string, load float64) {
 	key := [2]string{service, zone}
-	n := count(servers, service, zone, false) + count(servers, service, zone, true)
-	if p.first[key] == 0 {
-		p.first[key] = n
+	if !p.loaded(now, service, load) {
+		p.found[key] = max(p.found[key], count(servers, service, zone, false), count(servers, service, zone, true))
 	}
-	return p.first[key]
 }
 
 // loaded reports whether a service has had load for long enough to go by it.
@@ -138,11 +148,11 @@
 }
 
 // need keeps the highest figure of the last while.
-func (p *Planner) need(now time.Time, service, zone string, load float64, found int) int {
+func (p *Planner) need(now time.Time, service, zone string, load float64) int {
 	n := max(leastServers, spareServers+int(math.Ceil(load/fullLoad)))
 	key := [2]string{service, zone}
 	if !p.loaded(now, service, load) {
-		n = max(n, found)
+		n = max(n, p.found[key])
 	}
 	if old, ok := p.peaks[key]; ok && old.count > n && now.Sub(old.at) < holdFor {
 		return old.count
@@ -169,7 +179,7 @@
 		p.places[at] = pl
 	}
 	switch {
-	case now.Sub(pl.refused) < refusedFor:
+	case now.Sub(pl.refused) < refusedFor, !pl.sent.IsZero() && now.Sub(pl.sent) < orderInterval:
 		return out
 	case pl.wanted == want && (has >= want || now.Sub(pl.sent) < repeatAfter):
 		return out
