station, feed: a host that hears of news asks the store itself

Change: word of a newer configuration, or of a list of servers that changed later, makes a follower ask the store. Ruled out: a late answer of the store (its other watches told within 2 ms).

--- a/internal/capacity/supply/supply.go
+++ b/internal/capacity/supply/supply.go
@@ -58,7 +58,7 @@
 type Planner struct {
 	places map[Place]*place
 	peaks  map[[2]string]peak
-	begun time.Time
+	begun  time.Time
 	// found is how many servers a zone had at first, since when a service's load began.
 	found map[[2]string]int
 	since map[string]time.Time
--- a/internal/entry/station/follow.go
+++ b/internal/entry/station/follow.go
@@ -107,6 +107,9 @@
 // publish hands the list of servers to the data path and the policy.
 func (s *Station) publish(version string) {
 	list := s.directory.List()
+	if sum := digest(list); sum != s.doubt.digest {
+		s.doubt = doubt{digest: sum, changed: time.Now(), asked: s.doubt.asked}
+	}
 	s.logServers(list, version)
 	s.servers.Store(&list)
 	s.edge.SetServers(list)
--- a/internal/entry/station/station.go
+++ b/internal/entry/station/station.go
@@ -92,7 +92,7 @@
 	duty   *lease.Lease
 	feed   *feed.Feed
 	tables *mirror.Mirror
-	list   *mirror.Mirror
+	lists  *mirror.Mirror
 
 	servers  atomic.Pointer[[]backend.Server]
 	listed   atomic.Bool
@@ -105,6 +105,7 @@
 	mu        sync.Mutex
 	directory *directory.Directory
 	storeDown map[string]bool
+	doubt     doubt
 	state     placement.Peer
 	seen      []seenPart
 	loads     map[string]supply.Load
@@ -125,12 +126,13 @@
 	s.edge = edge.New(cfg.Zone, p.Codec, s.loop, edge.WithLog(log), edge.WithUsage(counter{s}))
 	s.fleet = gossip.New(gossip.Self{Host: s.id, Zone: cfg.Zone, Addr: cfg.IP, Port: cfg.FleetPort, Seeds: cfg.Seeds}, s.fill, s.hear)
 	s.feed = feed.New(cfg.Apply)
+	// A host that was told of news must not hear from a neighbour that they are none.
 	tables, list := feed.NewSource(p.Store, s.neighbours), feed.NewSource(p.Store, s.neighbours)
 	s.tables = mirror.New(tables, p.Kinds.Table, cfg.Apply, relistInterval, func(u mirror.Update) {
 		s.feed.Apply(p.Kinds.Table, u, tables.Direct(), time.Now())
 		s.followTable(u)
 	})
-	s.list = mirror.New(list, p.Kinds.Servers, cfg.Apply, relistInterval, func(u mirror.Update) {
+	s.lists = mirror.New(list, p.Kinds.Servers, cfg.Apply, relistInterval, func(u mirror.Update) {
 		s.feed.Apply(p.Kinds.Servers, u, list.Direct(), time.Now())
 		s.followServers(u)
 	}, mirror.WithPause(coalesceTime))
@@ -181,7 +183,7 @@
 	}
 	start(s.loop.Run)
 	start(s.tables.Run)
-	start(s.list.Run)
+	start(s.lists.Run)
 	start(s.fleet.Run)
 	start(s.step)
 	if s.leases != nil {
--- a/internal/entry/station/word.go
+++ b/internal/entry/station/word.go
@@ -1,10 +1,13 @@
 package station
 
 import (
+	"fmt"
+	"hash/fnv"
 	"net/netip"
 	"slices"
 	"time"
 
+	"shallotramp/internal/fleet/backend"
 	"shallotramp/internal/fleet/gossip"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/placement"
@@ -18,6 +21,10 @@
 	seenTime = 1200 * time.Millisecond
 	// neighbourSilence is how long a silent host still counts as following the store.
 	neighbourSilence = 1500 * time.Millisecond
+	// doubtTime is how long another host's newer list may differ, which both may learn at other moments, and
+	// askInterval the time between two readings for that.
+	doubtTime   = 500 * time.Millisecond
+	askInterval = 2 * time.Second
 	// milli turns a share into thousandths.
 	milli = 1000
 )
@@ -67,6 +74,7 @@
 func (s *Station) fillState(p *gossip.Packet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p.ListDigest, p.ListAgeMs = s.doubt.digest, time.Since(s.doubt.changed).Milliseconds()
 	for id, w := range s.state.Work {
 		p.Work = append(p.Work, encodeWork(id, w))
 	}
@@ -94,14 +102,53 @@
 	}
 	if t := s.edge.Table(); t != nil && p.GetTableVersion() > t.Version {
 		if s.heardOf.Swap(p.GetTableVersion()) != p.GetTableVersion() {
+			s.log.Info().Str("Event", "TableBehind").Int64("Version", t.Version).Int64("Heard", p.GetTableVersion()).Str("From", m.Host).Send()
 			s.tables.Poke()
 		}
 	}
+	s.compare(p, m, time.Now())
 	peer := decodePeer(p, m)
 	hosts := len(s.fleet.Members(time.Now())) + 1
 	s.loop.Apply(func(now time.Time) []dispatch.Effect { return s.policy.Peer(now, peer, hosts) })
 }
 
+// doubt is this host's knowledge of its list of backend servers beside that of others.
+type doubt struct {
+	digest  uint64
+	changed time.Time
+	// since is when another host first told of a newer list, and asked when the store was asked for it.
+	since, asked time.Time
+}
+
+// compare lists the backend servers anew if another host's list has changed later and stays different: the
+// watch of this host, or of the neighbour that it follows, may be silent.
+func (s *Station) compare(p *gossip.Packet, m gossip.Member, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := &s.doubt
+	theirs := now.Add(-time.Duration(p.GetListAgeMs()) * time.Millisecond)
+	if p.GetListDigest() == 0 || p.GetListDigest() == d.digest || !theirs.After(d.changed) {
+		return
+	}
+	switch {
+	case d.since.IsZero():
+		d.since = now
+	case now.Sub(d.since) > doubtTime && now.Sub(d.asked) > askInterval:
+		d.asked = now
+		s.log.Info().Str("Event", "ServersBehind").Str("From", m.Host).Dur("Age", now.Sub(d.changed)).Send()
+		s.lists.Poke()
+	}
+}
+
+// digest sums up a list of servers.
+func digest(list []backend.Server) uint64 {
+	h := fnv.New64a()
+	for _, b := range list {
+		_, _ = fmt.Fprintf(h, "%s %t\n", b.ID, b.Leaving) // A hash's Write returns no error.
+	}
+	return max(h.Sum64(), 1)
+}
+
 func decodePeer(p *gossip.Packet, m gossip.Member) placement.Peer {
 	out := placement.Peer{
 		Host: m.Host, Zone: m.Zone, Work: make(map[string]placement.Work, len(p.GetWork())),
--- a/internal/platform/feed/source.go
+++ b/internal/platform/feed/source.go
@@ -34,7 +34,9 @@
 
 	mu     sync.Mutex
 	failed map[netip.AddrPort]time.Time
-	direct bool
+	// doubted is when the neighbours were found behind.
+	doubted time.Time
+	direct  bool
 }
 
 var _ mirror.Source = (*Source)(nil)
@@ -57,6 +59,13 @@
 	return s.direct
 }
 
+// Doubt asks the store itself for a while: there is word of news that the neighbours have not told.
+func (s *Source) Doubt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.doubted = time.Now()
+}
+
 // List implements [mirror.Source].
 func (s *Source) List(ctx context.Context, kind string) ([]store.Object, string, error) {
 	if p, err := s.ask(ctx, listTimeout, kind, nil); err == nil {
@@ -106,7 +115,7 @@
 func (s *Source) avoided(n netip.AddrPort) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.failed[n]) < avoidFor
+	return time.Since(s.failed[n]) < avoidFor || time.Since(s.doubted) < avoidFor
 }
 
 func (s *Source) avoid(n netip.AddrPort) {
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -18,6 +18,8 @@
 )
 
 // Source reads objects. The client of the platform's store is one.
+//
+// A source that has copies may implement Doubt, which makes it ask the store itself for a while.
 type Source interface {
 	// List returns all objects of the kind and the version of the list.
 	List(ctx context.Context, kind string) ([]store.Object, string, error)
@@ -115,6 +117,9 @@
 		defer close(over)
 		select {
 		case <-m.poke:
+			if d, ok := m.source.(interface{ Doubt() }); ok {
+				d.Doubt()
+			}
 			m.listed = time.Time{}
 			cancel()
 		case <-call.Done():
