--- /dev/null
+++ b/internal/fleet/directory/directory_test.go
@@ -0,0 +1,71 @@
+package directory_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/fleet/backend"
+	"shallotramp/internal/fleet/directory"
+)
+
+var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func server(id string) backend.Server {
+	return backend.Server{ID: id, Service: "pool", Addr: netip.MustParseAddrPort("10.0.0.1:80")}
+}
+
+func ids(d *directory.Directory) []string {
+	out := []string{}
+	for _, s := range d.List() {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
+func TestRemoval(t *testing.T) {
+	convey.Convey("A directory of two servers", t, func() {
+		d := directory.New()
+		d.Heard(start)
+		d.Replace(start, []backend.Server{server("i-1"), server("i-2")})
+		convey.Convey("drops one whose entry is removed while the store answers, however long no change came", func() {
+			d.Heard(start.Add(time.Hour))
+			d.Remove(start.Add(time.Hour), "i-1")
+			convey.So(ids(d), convey.ShouldResemble, []string{"i-2"})
+		})
+		convey.Convey("after an outage of the store", func() {
+			back := start.Add(8 * time.Second)
+			d.Away()
+			d.Heard(back)
+			d.Replace(back, []backend.Server{server("i-2")})
+			convey.Convey("keeps one whose entry has lapsed", func() {
+				convey.So(ids(d), convey.ShouldResemble, []string{"i-1", "i-2"})
+				convey.So(d.Expire(back.Add(time.Second)), convey.ShouldBeFalse)
+			})
+			convey.Convey("drops it when it has not come back in two seconds", func() {
+				convey.So(d.Expire(back.Add(2*time.Second)), convey.ShouldBeTrue)
+				convey.So(ids(d), convey.ShouldResemble, []string{"i-2"})
+			})
+			convey.Convey("does not give it more time with each list", func() {
+				d.Replace(back.Add(time.Second), []backend.Server{server("i-2")})
+				convey.So(d.Expire(back.Add(2*time.Second)), convey.ShouldBeTrue)
+			})
+			convey.Convey("keeps it for good when it has come back", func() {
+				d.Put(server("i-1"))
+				convey.So(d.Expire(back.Add(time.Minute)), convey.ShouldBeFalse)
+				convey.So(ids(d), convey.ShouldResemble, []string{"i-1", "i-2"})
+			})
+		})
+		convey.Convey("drops one that had told its leaving also after an outage", func() {
+			leaving := server("i-1")
+			leaving.Leaving = true
+			d.Put(leaving)
+			d.Away()
+			d.Heard(start.Add(time.Second))
+			d.Remove(start.Add(time.Second), "i-1")
+			convey.So(ids(d), convey.ShouldResemble, []string{"i-2"})
+		})
+	})
+}
--- /dev/null
+++ b/internal/traffic/route/route_test.go
@@ -0,0 +1,89 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/traffic/route"
+)
+
+func table() *route.Table {
+	org := &route.Organisation{Name: "org"}
+	return route.New(3, []*route.Route{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "chat", Host: "a.example", Prefix: "/chat/", Kind: route.Stream, Resumable: true},
+		{Name: "chat-new", Host: "a.example", Prefix: "/chat/new/"},
+		{Name: "other", Host: "b.example", Prefix: "/chat/"},
+	}, []*route.Service{{Name: "pool"}}, route.Limits{}, true, map[string]*route.Organisation{"k1": org, "k2": org})
+}
+
+func TestMatch(t *testing.T) {
+	tests := map[string]struct{ host, path, want string }{
+		"the longest prefix of the host":    {"a.example", "/chat/new/1", "chat-new"},
+		"a shorter prefix":                  {"a.example", "/chat/old", "chat"},
+		"a prefix without its slash":        {"a.example", "/chat", "all"},
+		"another host's prefix is not used": {"b.example", "/chat/new/1", "other"},
+		"a host name in capitals":           {"A.Example", "/chat/x", "chat"},
+		"a host name with a port":           {"a.example:8740", "/chat/x", "chat"},
+		"a path that no prefix begins":      {"b.example", "/book/", ""},
+		"a host that is not known":          {"c.example", "/chat/", ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if r := table().Match(test.host, test.path); r != nil {
+				got = r.Name
+			}
+			if got != test.want {
+				t.Fatalf("route %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func TestOrganisation(t *testing.T) {
+	convey.Convey("A key is its organisation's only as a whole", t, func() {
+		convey.So(table().Organisation("k1").Name, convey.ShouldEqual, "org")
+		for _, key := range []string{"", "k", "k11", "K1"} {
+			convey.So(table().Organisation(key), convey.ShouldBeNil)
+		}
+	})
+}
+
+func TestPick(t *testing.T) {
+	r := route.Route{Targets: []route.Target{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}}}
+	n := map[string]int{}
+	for key := range uint64(1000) {
+		n[r.Pick(key)]++
+		if r.Pick(key) != r.Pick(key) {
+			t.Fatal("equal keys get different services")
+		}
+	}
+	if n["old"] != 900 || n["new"] != 100 {
+		t.Fatalf("shares %v, want 900 and 100", n)
+	}
+	none := route.Route{}
+	if got := none.Pick(5); got != "" {
+		t.Fatalf("a route without a target goes to %q", got)
+	}
+}
+
+func ExampleTable_Match() {
+	fmt.Println(table().Match("a.example", "/chat/1").Name)
+	// Output: chat
+}
+
+func BenchmarkMatch(b *testing.B) {
+	var routes []*route.Route
+	for i := range 2000 {
+		routes = append(routes, &route.Route{Host: fmt.Sprintf("h%d.example", i%200), Prefix: fmt.Sprintf("/p%d/", i)})
+	}
+	t := route.New(1, routes, nil, route.Limits{}, false, nil)
+	for b.Loop() {
+		if t.Match("h7.example", "/p7/x") == nil {
+			b.Fatal("no route")
+		}
+	}
+}
--- /dev/null
+++ b/internal/usage/freeze/freeze_test.go
@@ -0,0 +1,77 @@
+package freeze_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/platform/fake"
+	"shallotramp/internal/platform/store"
+	"shallotramp/internal/usage/freeze"
+	"shallotramp/internal/usage/tally"
+)
+
+type counts = map[tally.Window]tally.Counts
+
+func load(b *freeze.Book) map[string]counts {
+	growing, err := b.Load(context.Background())
+	convey.So(err, convey.ShouldBeNil)
+	return growing
+}
+
+func TestTwoHolders(t *testing.T) {
+	ctx := context.Background()
+	convey.Convey("Two hosts that both believe to hold the duties", t, func() {
+		st := fake.NewStore()
+		first, second := freeze.New(st), freeze.New(st)
+		load(first)
+		load(second)
+		convey.So(first.Save(ctx, counts{7: {"org": 10}}, nil), convey.ShouldBeNil)
+		convey.Convey("never decide one window differently", func() {
+			err := second.Save(ctx, counts{7: {"org": 12}}, nil)
+			convey.So(err, convey.ShouldNotBeNil)
+			convey.So(second.Known(), convey.ShouldBeFalse)
+			load(second)
+			c, ok := second.Frozen(7)
+			convey.So(ok, convey.ShouldBeTrue)
+			convey.So(c, convey.ShouldResemble, tally.Counts{"org": 10})
+			convey.So(second.Save(ctx, counts{7: {"org": 12}, 8: {"org": 1}}, nil), convey.ShouldBeNil)
+			c, _ = second.Frozen(7)
+			convey.So(c, convey.ShouldResemble, tally.Counts{"org": 10})
+		})
+		convey.Convey("go on with the growing figures of the other", func() {
+			convey.So(first.Save(ctx, nil, map[string]counts{"a/1": {7: {"org": 10}, 8: {"org": 3}}}), convey.ShouldBeNil)
+			growing := load(second)
+			convey.So(growing["a/1"][8], convey.ShouldResemble, tally.Counts{"org": 3})
+			convey.So(growing["a/1"], convey.ShouldNotContainKey, tally.Window(7))
+		})
+		convey.Convey("know which windows the platform has", func() {
+			first.NoteReported(7)
+			convey.So(first.Save(ctx, nil, nil), convey.ShouldBeNil)
+			load(second)
+			convey.So(second.Reported(), convey.ShouldEqual, tally.Window(7))
+		})
+	})
+}
+
+func TestLostAnswer(t *testing.T) {
+	ctx := context.Background()
+	convey.Convey("A write whose answer is lost", t, func() {
+		st := fake.NewStore()
+		b := freeze.New(st)
+		load(b)
+		convey.So(b.Save(ctx, counts{1: {"org": 1}}, nil), convey.ShouldBeNil)
+		st.SetFaults(fake.Faults{LoseAnswers: 1})
+		err := b.Save(ctx, counts{2: {"org": 2}}, nil)
+		st.SetFaults(fake.Faults{})
+		convey.So(store.Failed(err, store.Unavailable), convey.ShouldBeTrue)
+		convey.Convey("is found by reading again, and its figures stand", func() {
+			convey.So(b.Known(), convey.ShouldBeFalse)
+			load(b)
+			convey.So(b.Save(ctx, counts{2: {"org": 5}}, nil), convey.ShouldBeNil)
+			c, _ := b.Frozen(2)
+			convey.So(c, convey.ShouldResemble, tally.Counts{"org": 2})
+		})
+	})
+}
