--- /dev/null
+++ b/internal/fleet/clock/clock_test.go
@@ -0,0 +1,60 @@
+package clock_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"shallotramp/internal/fleet/clock"
+)
+
+var wall = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func TestEstimate(t *testing.T) {
+	convey.Convey("A host whose time of day was right at its start", t, func() {
+		var boot time.Duration
+		c := clock.New(wall, func() time.Duration { return boot })
+		convey.Convey("goes on by a clock that does not jump", func() {
+			boot = time.Minute
+			convey.So(c.Now(), convey.ShouldEqual, wall.Add(time.Minute))
+		})
+		convey.Convey("does not follow one host that is wrong", func() {
+			c.Hear("a", wall.Add(2*time.Second))
+			c.Hear("b", wall)
+			c.Hear("c", wall.Add(time.Millisecond))
+			convey.So(c.Now(), convey.ShouldEqual, wall)
+		})
+		convey.Convey("does not follow a single other host at all", func() {
+			c.Hear("a", wall.Add(2*time.Second))
+			convey.So(c.Now(), convey.ShouldEqual, wall)
+		})
+	})
+	convey.Convey("A host that started while its time of day was wrong", t, func() {
+		var boot time.Duration
+		c := clock.New(wall.Add(3*time.Second), func() time.Duration { return boot })
+		convey.Convey("follows the median of the others", func() {
+			c.Hear("a", wall)
+			c.Hear("b", wall.Add(time.Millisecond))
+			convey.So(c.Now().Sub(wall), convey.ShouldBeLessThanOrEqualTo, time.Millisecond)
+			convey.Convey("and stays there", func() {
+				boot = time.Second
+				c.Hear("a", wall.Add(time.Second))
+				convey.So(c.Now().Sub(wall), convey.ShouldBeLessThanOrEqualTo, time.Second+time.Millisecond)
+			})
+		})
+		convey.Convey("does not go by words that are old", func() {
+			c.Hear("a", wall)
+			boot = time.Minute
+			c.Hear("b", wall.Add(time.Minute))
+			convey.So(c.Now(), convey.ShouldEqual, wall.Add(time.Minute+3*time.Second))
+		})
+	})
+}
+
+func TestSinceBootAdvances(t *testing.T) {
+	a := clock.SinceBoot()
+	if b := clock.SinceBoot(); b < a || a <= 0 {
+		t.Fatalf("%v, then %v", a, b)
+	}
+}
