model, experiment: engines, hosts and callers in virtual time; placement learns reading times from the low samples

Cause (large-burst in the model): a fixed surcharge for long prompts beside conversations and a reading time learned from delayed first tokens left half of the engines idle in a burst. Change: the surcharge follows from what is read in the time of one event against the accepted pause; hosts lean to servers of their own; other hosts' work is added up once.

--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -55,22 +55,23 @@
 type Commands struct {
 	Globals
 
-	Serve    ServeCommand    `cmd:"" help:"Run an entry host."`
-	Edge     EdgeCommand     `cmd:"" help:"Run a host on the users' platform, from its settings file."`
-	Check    CheckCommand    `cmd:"" help:"Check a whole set of objects offline."`
-	Publish  PublishCommand  `cmd:"" help:"Check a whole set of objects and publish it as the next release."`
-	Get      GetCommand      `cmd:"" help:"Print objects of a release, in the form in which they are published."`
-	Diff     DiffCommand     `cmd:"" help:"Show what differs between files and a release, or between two releases."`
-	History  HistoryCommand  `cmd:"" help:"List the releases."`
-	Status   StatusCommand   `cmd:"" help:"Show in which zones the release is in force, and what is late."`
-	Usage    UsageCommand    `cmd:"" help:"Show usage windows, their states, figures and differences."`
-	Key      KeyCommand      `cmd:"" help:"Grant and withdraw keys."`
-	Explain  ExplainCommand  `cmd:"" help:"Show the decisions taken for one request."`
-	Suspects SuspectsCommand `cmd:"" help:"List and lift the marks of requests that crash backend servers."`
-	Load     LoadCommand     `cmd:"" help:"Offer open-loop traffic from a profile and report the measures."`
-	Demo     DemoCommand     `cmd:"" help:"Run a whole deployment with stand-ins in one process."`
-	Settings SettingsCommand `cmd:"" hidden:"" help:"Write the page of all settings."`
-	Standin  StandinCommand  `cmd:"" help:"Run one stand-in of an outside system, for trials and tests."`
+	Serve      ServeCommand      `cmd:"" help:"Run an entry host."`
+	Edge       EdgeCommand       `cmd:"" help:"Run a host on the users' platform, from its settings file."`
+	Check      CheckCommand      `cmd:"" help:"Check a whole set of objects offline."`
+	Publish    PublishCommand    `cmd:"" help:"Check a whole set of objects and publish it as the next release."`
+	Get        GetCommand        `cmd:"" help:"Print objects of a release, in the form in which they are published."`
+	Diff       DiffCommand       `cmd:"" help:"Show what differs between files and a release, or between two releases."`
+	History    HistoryCommand    `cmd:"" help:"List the releases."`
+	Status     StatusCommand     `cmd:"" help:"Show in which zones the release is in force, and what is late."`
+	Usage      UsageCommand      `cmd:"" help:"Show usage windows, their states, figures and differences."`
+	Key        KeyCommand        `cmd:"" help:"Grant and withdraw keys."`
+	Explain    ExplainCommand    `cmd:"" help:"Show the decisions taken for one request."`
+	Suspects   SuspectsCommand   `cmd:"" help:"List and lift the marks of requests that crash backend servers."`
+	Load       LoadCommand       `cmd:"" help:"Offer open-loop traffic from a profile and report the measures."`
+	Experiment ExperimentCommand `cmd:"" help:"Play load patterns with policies in virtual time and compare what callers get."`
+	Demo       DemoCommand       `cmd:"" help:"Run a whole deployment with stand-ins in one process."`
+	Settings   SettingsCommand   `cmd:"" hidden:"" help:"Write the page of all settings."`
+	Standin    StandinCommand    `cmd:"" help:"Run one stand-in of an outside system, for trials and tests."`
 }
 
 func init() {
--- /dev/null
+++ b/internal/command/cli/experiment.go
@@ -0,0 +1,121 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"shallotramp/internal/trial/model"
+)
+
+// ExperimentCommand plays load patterns with policies in virtual time.
+type ExperimentCommand struct {
+	Patterns []string `arg:"" optional:"" help:"Names of load patterns; all if none."`
+	File     string   `help:"File with load patterns in place of those that come with the program." type:"existingfile" env:"SHALLOTRAMP_PATTERNS"`
+	Seeds    int      `help:"Plays with other luck." default:"3" env:"SHALLOTRAMP_SEEDS"`
+	List     bool     `help:"List the load patterns."`
+}
+
+// outcome is one line of the report.
+type outcome struct {
+	Pattern, Policy, Class                     string
+	Attained, Served                           float64
+	LateFirst, LatePause, Refused, Left, Asked int
+	FirstMedianMs, First99Ms                   int64
+	ReadAgain                                  float64
+}
+
+// Run implements the command.
+func (c *ExperimentCommand) Run(g *Globals) error {
+	all, err := c.read()
+	if err != nil {
+		return err
+	}
+	if c.List {
+		for _, p := range all {
+			fmt.Fprintf(g.stdout, "%-20s %s\n", p.Name, p.About)
+		}
+		return nil
+	}
+	var out []outcome
+	for _, p := range all {
+		for _, m := range makers {
+			fmt.Fprintf(g.stderr, "playing %s with %s\n", p.Name, m.name)
+			out = append(out, c.play(p, m.name, m.make)...)
+		}
+	}
+	return c.print(g, out)
+}
+
+var makers = []struct {
+	name string
+	make model.Maker
+}{{"ours", model.Ours}, {"least-load", model.LeastLoad}, {"round-robin", model.RoundRobin}}
+
+func (c *ExperimentCommand) read() ([]model.Pattern, error) {
+	all, err := model.Patterns()
+	if c.File != "" {
+		raw, readErr := os.ReadFile(c.File)
+		if readErr != nil {
+			return nil, readErr
+		}
+		all, err = model.ReadPatterns(raw)
+	}
+	if err != nil || len(c.Patterns) == 0 {
+		return all, err
+	}
+	var out []model.Pattern
+	for _, name := range c.Patterns {
+		p, err := model.Find(all, name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, p)
+	}
+	return out, nil
+}
+
+// play plays a pattern with each seed and adds the results up.
+func (c *ExperimentCommand) play(p model.Pattern, name string, m model.Maker) []outcome {
+	sum := map[string]*outcome{}
+	for seed := range c.Seeds {
+		r := model.Play(p, uint64(seed+1), m)
+		for _, class := range p.Classes {
+			k := r.Classes[class.Name]
+			o := sum[class.Name]
+			if o == nil {
+				o = &outcome{Pattern: p.Name, Policy: name, Class: class.Name}
+				sum[class.Name] = o
+			}
+			n := float64(c.Seeds)
+			o.Attained += k.Attained() / n
+			o.Served += k.Served() / n
+			o.Asked += k.Asked
+			o.Refused += k.Refused
+			o.Left += k.Left
+			o.LateFirst += k.LateFirst
+			o.LatePause += k.LatePause
+			o.FirstMedianMs += k.First(0.5).Milliseconds() / int64(c.Seeds)
+			o.First99Ms += k.First(0.99).Milliseconds() / int64(c.Seeds)
+			o.ReadAgain += float64(r.Again) / float64(max(r.Read, 1)) / n
+		}
+	}
+	var out []outcome
+	for _, class := range p.Classes {
+		out = append(out, *sum[class.Name])
+	}
+	return out
+}
+
+func (c *ExperimentCommand) print(g *Globals, out []outcome) error {
+	if g.isJSON() {
+		return g.json(out)
+	}
+	w := tabwriter.NewWriter(g.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PATTERN\tPOLICY\tCLASS\tON TIME\tSERVED\tLATE FIRST\tLATE PAUSE\tREFUSED\tLEFT\tOF\tP50 MS\tP99 MS\tREAD AGAIN")
+	for _, o := range out {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\n", o.Pattern, o.Policy, o.Class, o.Attained, o.Served,
+			o.LateFirst, o.LatePause, o.Refused, o.Left, o.Asked, o.FirstMedianMs, o.First99Ms, o.ReadAgain)
+	}
+	return w.Flush()
+}
--- a/internal/traffic/placement/estimate.go
+++ b/internal/traffic/placement/estimate.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"shallotramp/internal/traffic/request"
@@ -41,6 +42,13 @@
 	// otherPartition is the cost of a long prompt on a server kept for short ones, and the reverse: one
 	// event's delay for those that run there.
 	otherPartition = 150 * time.Millisecond
+	// eventReading is how many tokens an engine reads, at most, while it makes one event: a few steps' chunks.
+	eventReading = 8192
+	// mixFrom and mixTo are the parts of the accepted pause that such reading may take without harm, and
+	// from which it harms fully.
+	mixFrom, mixTo = 0.5, 0.8
+	// leanTime bounds the cost by which a host leans to servers of its own.
+	leanTime = 50 * time.Millisecond
 	// otherZone is the cost of another availability zone: two crossings and the price of the bytes, for a
 	// short prompt; otherZoneLong for a long one.
 	otherZone     = 30 * time.Millisecond
@@ -111,14 +119,15 @@
 		}
 	}
 	c.cost += s.doubt(now)
-	// Equal costs are broken by chance, so that hosts do not send in a herd.
-	c.cost += time.Duration(p.rnd.Int64N(int64(time.Millisecond)))
+	// Hosts learn of each other's work late: each leans to servers of its own, so that they do not all
+	// send to the one that looked free last.
+	c.cost += time.Duration(rankOf(s.info.ID, p.lean) % uint64(leanTime))
 	return c
 }
 
 // engine estimates a model engine: prompts before this one, its own, and the step time of the batch.
 func (p *Policy) engine(now time.Time, e *entry, s *server) choice {
-	w := p.load(s)
+	w := s.load()
 	l := &e.svc.learned
 	c := choice{uncached: e.unread(now, s), why: "least expected delay"}
 	p.fetch(now, e, s, &c)
@@ -142,7 +151,7 @@
 		c.cost += time.Duration(float64(l.reading(c.uncached)) * harmPerRunning * float64(w.all()))
 	}
 	if e.long != s.forLong && len(e.svc.servers) > 1 {
-		c.cost += otherPartition
+		c.cost += time.Duration(e.svc.mixing(e) * float64(otherPartition))
 	}
 	if len(e.req.Parts) > 1 && e.long && !p.home(e, s) {
 		c.cost += notHome
@@ -154,6 +163,19 @@
 	return c
 }
 
+// mixing returns how much long prompts harm the streams beside them, 0 to 1: whether the prompts that are
+// read during one event pause it for longer than its callers accept.
+func (s *service) mixing(e *entry) float64 {
+	if g := e.req.GapTarget; g > 0 && (s.gap == 0 || g < s.gap) {
+		s.gap = g
+	}
+	if s.gap == 0 {
+		return 1
+	}
+	share := float64(s.learned.reading(eventReading)) / float64(s.gap)
+	return min(max((share-mixFrom)/(mixTo-mixFrom), 0), 1)
+}
+
 // unread estimates the tokens that the server has to read.
 func (e *entry) unread(now time.Time, s *server) int {
 	if len(e.req.Parts) == 0 {
@@ -207,7 +229,7 @@
 
 // plain estimates a plain service by its places and the time of an answer.
 func (p *Policy) plain(_ time.Time, e *entry, s *server) choice {
-	w := p.load(s)
+	w := s.load()
 	slots := max(s.info.Slots, 1)
 	c := choice{first: e.svc.learned.whole, why: "least outstanding work"}
 	c.cost = c.first * time.Duration(w.all()) / time.Duration(slots)
@@ -248,34 +270,68 @@
 	perToken time.Duration
 	// base is the time to the first token without a prompt, whole that of a whole answer.
 	base, whole time.Duration
+	// read and began are the latest samples of perToken and base.
+	read, began samples
 }
 
 const (
-	// firstPerToken, firstBase and firstWhole are assumed until requests have shown better: a slow engine.
-	firstPerToken = 25 * time.Microsecond
-	firstBase     = 60 * time.Millisecond
+	// firstPerToken, firstBase and firstWhole are assumed until requests have shown better.
+	firstPerToken = 20 * time.Microsecond
+	firstBase     = 50 * time.Millisecond
 	firstWhole    = 60 * time.Millisecond
 	// learnShare is the weight of a new observation.
 	learnShare = 0.05
 	// sampleTokens is the least prompt from which the reading time is learned.
 	sampleTokens = 1500
+	// keptSamples is how many samples are kept, fewSamples how many are needed.
+	keptSamples = 48
+	fewSamples  = 5
+	// lowShare is the part of the samples below the estimate: work ahead that the host did not know of only
+	// makes a first token later, so that the low samples tell the time that the prompt itself took.
+	lowShare = 0.2
 )
 
+// samples are the latest ones, the oldest overwritten first.
+type samples struct {
+	kept []time.Duration
+	next int
+}
+
+func (s *samples) add(d time.Duration) {
+	if len(s.kept) < keptSamples {
+		s.kept = append(s.kept, d)
+		return
+	}
+	s.kept[s.next] = d
+	s.next = (s.next + 1) % keptSamples
+}
+
+// low returns the estimate, or old while there are too few samples.
+func (s *samples) low(old time.Duration) time.Duration {
+	if len(s.kept) < fewSamples {
+		return old
+	}
+	l := slices.Clone(s.kept)
+	slices.Sort(l)
+	return l[int(lowShare*float64(len(l)))]
+}
+
 func newRates() rates {
 	return rates{perToken: firstPerToken, base: firstBase, whole: firstWhole}
 }
 
 func (r *rates) reading(tokens int) time.Duration { return time.Duration(tokens) * r.perToken }
 
+// firstToken learns from a first token.
 func (r *rates) firstToken(took time.Duration, e *entry) {
 	switch {
 	case e.svc.engine == nil:
 	case e.uncached < sampleTokens:
-		r.base = blend(r.base, min(took, 4*r.base))
+		r.began.add(max(took-r.reading(e.uncached), 0))
+		r.base = r.began.low(r.base)
 	case took > r.base:
-		// Waiting before the prompt is in took as well: a sample above the estimate counts less.
-		sample := (took - r.base) / time.Duration(e.uncached)
-		r.perToken = max(blend(r.perToken, min(sample, 2*r.perToken)), time.Microsecond)
+		r.read.add((took - r.base) / time.Duration(e.uncached))
+		r.perToken = max(r.read.low(r.perToken), time.Microsecond)
 	}
 }
 
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -22,8 +22,10 @@
 
 // Policy decides. It implements [dispatch.Core].
 type Policy struct {
-	zone     string
-	rnd      *rand.Rand
+	zone string
+	rnd  *rand.Rand
+	// lean differs between hosts.
+	lean     uint64
 	table    *route.Table
 	limits   RetryLimits
 	hosts    int
@@ -59,7 +61,7 @@
 // New returns a Policy that knows no server. Equal seeds and events give equal effects.
 func New(seed uint64, opts ...Option) *Policy {
 	p := &Policy{
-		rnd: rand.New(rand.NewPCG(seed, 1)), hosts: 1,
+		rnd: rand.New(rand.NewPCG(seed, 1)), lean: seed, hosts: 1,
 		services: map[string]*service{}, servers: map[string]*server{},
 		entries: map[request.ID]*entry{}, peers: map[string]Peer{},
 	}
@@ -101,6 +103,8 @@
 	repeats budget
 	// reading is the time that the prompts of this host's callers take.
 	reading meter
+	// gap is the shortest pause that its callers accept.
+	gap time.Duration
 }
 
 // Configure adopts a routing table.
@@ -133,6 +137,9 @@
 		if s == nil || s.info.Addr != info.Addr || !s.info.Born.Equal(info.Born) {
 			s = newServer(info)
 			p.servers[info.ID] = s
+			for _, peer := range p.peers {
+				s.others.add(peer.Work[info.ID], 1)
+			}
 		}
 		s.info = info
 		if info.Serves() {
@@ -292,6 +299,7 @@
 func (p *Policy) Tick(now time.Time) []dispatch.Effect {
 	for h, s := range p.peers {
 		if now.Sub(s.At) > peerLifetime {
+			p.count(s, -1)
 			delete(p.peers, h)
 		}
 	}
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -17,9 +17,9 @@
 	rank uint64
 	// forLong servers take long prompts first, the others short ones.
 	forLong bool
-	// own is this host's outstanding work.
-	own   Work
-	cache cache
+	// own is this host's outstanding work, others that of the other hosts.
+	own, others Work
+	cache       cache
 	health
 	reported   dispatch.Load
 	reportedAt time.Time
@@ -38,11 +38,12 @@
 	Running, Unread [Tiers]int
 }
 
-func (w *Work) add(o Work) {
-	w.Held += o.Held
+// add adds o, n times; n may be negative.
+func (w *Work) add(o Work, n int) {
+	w.Held += n * o.Held
 	for i := range Tiers {
-		w.Running[i] += o.Running[i]
-		w.Unread[i] += o.Unread[i]
+		w.Running[i] += n * o.Running[i]
+		w.Unread[i] += n * o.Unread[i]
 	}
 }
 
@@ -116,14 +117,21 @@
 }
 
 // load returns the outstanding work of all hosts.
-func (p *Policy) load(s *server) Work {
+func (s *server) load() Work {
 	w := s.own
-	for _, peer := range p.peers {
-		w.add(peer.Work[s.info.ID])
-	}
+	w.add(s.others, 1)
 	return w
 }
 
+// count adds what another host told to the servers, n times.
+func (p *Policy) count(peer Peer, n int) {
+	for id, w := range peer.Work {
+		if s := p.servers[id]; s != nil {
+			s.others.add(w, n)
+		}
+	}
+}
+
 // cache remembers which parts of prompts a server has read of late.
 type cache struct {
 	used map[uint64]time.Time
@@ -194,6 +202,8 @@
 		}
 	}
 	peer.Seen = nil
+	p.count(p.peers[peer.Host], -1)
+	p.count(peer, 1)
 	p.peers[peer.Host] = peer
 	p.hosts = max(hosts, 1)
 	return nil
