placement: within a tier, what can no longer be on time comes after what can

Change: a request whose first token is not expected by its goal goes with a lower urgency within its tier, and is refused while as many wait as an engine has places.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -129,7 +129,7 @@
 		o.Organisation = t.org.Name
 	}
 	if t.route.Prompted {
-		o.Urgency = t.req.Tier
+		o.Urgency = eff.Urgency
 	}
 	if from, ok := (*t.e.servers.Load())[eff.From]; ok {
 		o.FetchFrom = from.Addr
--- a/internal/entry/edge/call.go
+++ b/internal/entry/edge/call.go
@@ -33,7 +33,7 @@
 	Left         time.Duration
 	Server       backend.Server
 	Organisation string
-	// Urgency is the tier, 0 the most urgent.
+	// Urgency orders requests at the server, 0 first; below 0 it is not told.
 	Urgency int
 	// ResumeAfter is the last event that the caller has, empty for a new stream.
 	ResumeAfter string
--- a/internal/entry/station/word.go
+++ b/internal/entry/station/word.go
@@ -169,11 +169,11 @@
 }
 
 func encodeWork(server string, w placement.Work) *gossip.Work {
-	return &gossip.Work{Server: server, Running: encodeTiers(w.Running), Unread: encodeTiers(w.Unread), Held: int32(w.Held)}
+	return &gossip.Work{Server: server, Running: encodeLevels(w.Running), Unread: encodeLevels(w.Unread), Held: int32(w.Held)}
 }
 
-// encodeTiers leaves out zeros at the end.
-func encodeTiers(in [placement.Tiers]int) []int32 {
+// encodeLevels leaves out zeros at the end.
+func encodeLevels(in [placement.Levels]int) []int32 {
 	n := len(in)
 	for n > 0 && in[n-1] == 0 {
 		n--
@@ -186,11 +186,11 @@
 }
 
 func decodeWork(w *gossip.Work) placement.Work {
-	return placement.Work{Running: decodeTiers(w.GetRunning()), Unread: decodeTiers(w.GetUnread()), Held: int(w.GetHeld())}
+	return placement.Work{Running: decodeLevels(w.GetRunning()), Unread: decodeLevels(w.GetUnread()), Held: int(w.GetHeld())}
 }
 
-func decodeTiers(in []int32) [placement.Tiers]int {
-	var out [placement.Tiers]int
+func decodeLevels(in []int32) [placement.Levels]int {
+	var out [placement.Levels]int
 	for i := range min(len(in), len(out)) {
 		out[i] = int(in[i])
 	}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -159,6 +159,8 @@
 	// Server and Attempt, from 1, are set for Start.
 	Server  string
 	Attempt int
+	// Urgency orders requests at the server, 0 first, for policies that tell it.
+	Urgency int
 	// From is a server whose cache holds more of the prompt, to be fetched from there; empty for none.
 	From string
 	// Reason, RetryAfter and Ran are set for Refuse.
--- a/internal/traffic/placement/estimate.go
+++ b/internal/traffic/placement/estimate.go
@@ -35,6 +35,11 @@
 	// harmPerRunning weighs the delay that a prompt's reading puts on each request that runs beside it: most
 	// bear it within their allowed pause.
 	harmPerRunning = 0.02
+	// crowdedShare is how many requests may wait at an engine for each of its places before those that can
+	// no longer be on time are refused.
+	crowdedShare = 1
+	// onTimeMargin is the part of the time left to the goal in which a first token must be expected.
+	onTimeMargin = 0.9
 	// lowTierShare divides the unread work of low tiers where it does not come first.
 	lowTierShare = 4
 	// meterTime is the time over which the need for servers is averaged.
@@ -70,7 +75,9 @@
 	from  *server
 	again int
 	full  bool
-	why   string
+	// crowded engines have as many requests waiting as they have places.
+	crowded bool
+	why     string
 }
 
 // choose returns the server with the least cost: the request's own delay, that of the work which runs
@@ -131,7 +138,7 @@
 	l := &e.svc.learned
 	c := choice{uncached: e.unread(now, s), why: "least expected delay"}
 	p.fetch(now, e, s, &c)
-	running, unread := w.ahead(e.req.Tier)
+	running, unread := w.ahead(e.level())
 	slots := max(s.info.Slots, 1)
 	c.first = l.reading(unread+c.uncached) + l.base + time.Duration(w.all())*placeTime
 	if c.from != nil {
@@ -141,10 +148,11 @@
 		c.first += time.Duration(over) * l.whole / time.Duration(slots)
 	}
 	// Less urgent work yields its place, but not for nothing.
-	c.cost = c.first + l.reading(w.Unread[Tiers-1]+w.Unread[Tiers-2])/lowTierShare
+	c.cost = c.first + l.reading(w.allUnread()-unread)/lowTierShare
 	c.cost += time.Duration(c.again) * againPerToken
 	if over := w.all() + 1 - slots; over > 0 {
 		c.cost += time.Duration(over) * l.whole / time.Duration(slots)
+		c.crowded = over > crowdedShare*slots
 	}
 	if e.long {
 		// Each running request waits while the prompt is read.
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -88,6 +88,8 @@
 	outlook time.Duration
 	first   bool
 	long    bool
+	// late requests can no longer have their first token by the goal; they come after others of the tier.
+	late bool
 	// waits is when the caller began to wait for the next event: its arrival, or the end of a stream that
 	// is to be resumed.
 	waits time.Time
@@ -180,27 +182,41 @@
 
 // place starts e, lets it wait or refuses it.
 func (p *Policy) place(now time.Time, e *entry) []dispatch.Effect {
+	e.late = false
 	c := p.choose(now, e)
+	if c.server != nil && e.tooLate(now, c) {
+		e.late = true
+		c = p.choose(now, e)
+	}
 	if c.server == nil {
 		return []dispatch.Effect{p.refuse(e, dispatch.NoServer, retryNoServer, "no server of the service takes work")}
 	}
 	patience := p.patience(now, e)
 	switch {
-	case c.first > patience:
-		return []dispatch.Effect{p.refuse(e, dispatch.Overload, p.comeBack(c.first-patience), "would start too late on each server")}
+	case c.first > patience, e.late && c.crowded:
+		return []dispatch.Effect{p.refuse(e, dispatch.Overload, p.comeBack(max(c.first-patience, c.first/2)), "would start too late on each server")}
 	case c.full:
 		return p.wait(now, e, c)
 	}
 	return []dispatch.Effect{p.start(now, e, c)}
 }
 
+// tooLate reports whether a first token cannot be expected by the goal. A stream that goes on has had it.
+func (e *entry) tooLate(now time.Time, c choice) bool {
+	if e.svc.engine == nil || e.req.Goal <= 0 || e.waits.After(e.req.Arrived) {
+		return false
+	}
+	left := e.req.Goal - now.Sub(e.req.Arrived)
+	return c.first > time.Duration(onTimeMargin*float64(left))
+}
+
 func (p *Policy) start(now time.Time, e *entry, c choice) dispatch.Effect {
 	e.server, e.started, e.first = c.server, now, false
 	e.uncached, e.outlook = c.uncached, c.first
 	e.held = e.req.PromptTokens + min(e.req.MaxTokens, assumedOutput)
 	e.sends++
 	c.server.begin(now, e)
-	out := dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: c.server.info.ID, Attempt: e.sends, Why: c.why}
+	out := dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: c.server.info.ID, Attempt: e.sends, Urgency: e.level(), Why: c.why}
 	if e.svc.engine != nil {
 		e.svc.reading.add(now, e.svc.learned.reading(c.uncached))
 		p.sawPart(c.server, e.req.Parts)
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -26,44 +26,57 @@
 	open       map[request.ID]*entry
 }
 
-// Tiers is how many tiers are told apart in outstanding work; lower ones count as the last.
-const Tiers = 4
+// Levels is how many levels of urgency are told apart: two for each of four tiers. Within a tier, requests
+// that can no longer be on time come after those that can.
+const Levels = 8
 
 // Work is outstanding work on a server.
 type Work struct {
 	// Held counts the tokens in memory.
 	Held int
 	// Running counts requests that were sent and have not ended, Unread the tokens of prompts sent and not
-	// read yet, both by tier.
-	Running, Unread [Tiers]int
+	// read yet, both by level.
+	Running, Unread [Levels]int
 }
 
 // add adds o, n times; n may be negative.
 func (w *Work) add(o Work, n int) {
 	w.Held += n * o.Held
-	for i := range Tiers {
+	for i := range Levels {
 		w.Running[i] += n * o.Running[i]
 		w.Unread[i] += n * o.Unread[i]
 	}
 }
 
-// ahead returns the requests and the unread tokens that come before a request of the tier: engines take the
-// more urgent first.
-func (w *Work) ahead(tier int) (running, unread int) {
-	for i := range place(tier) + 1 {
+// ahead returns the requests and the unread tokens that come before a request of the level: engines take
+// the more urgent first.
+func (w *Work) ahead(level int) (running, unread int) {
+	for i := range level + 1 {
 		running += w.Running[i]
 		unread += w.Unread[i]
 	}
 	return running, unread
 }
 
-// all returns the requests of all tiers.
+// all returns the requests of all levels.
 func (w *Work) all() int {
-	n, _ := w.ahead(Tiers - 1)
+	n, _ := w.ahead(Levels - 1)
 	return n
 }
 
-func place(tier int) int { return min(max(tier, 0), Tiers-1) }
+func (w *Work) allUnread() int {
+	_, n := w.ahead(Levels - 1)
+	return n
+}
+
+// level returns the request's urgency, 0 the most urgent.
+func (e *entry) level() int {
+	l := 2 * min(max(e.req.Tier, 0), Levels/2-1)
+	if e.late {
+		l++
+	}
+	return l
+}
 
 func newServer(info backend.Server) *server {
 	return &server{info: info, rank: rankOf(info.ID, 0), open: map[request.ID]*entry{}, cache: newCache()}
@@ -82,8 +95,8 @@
 
 func (s *server) begin(now time.Time, e *entry) {
 	s.own.Held += e.held
-	s.own.Running[place(e.req.Tier)]++
-	s.own.Unread[place(e.req.Tier)] += e.uncached
+	s.own.Running[e.level()]++
+	s.own.Unread[e.level()] += e.uncached
 	s.open[e.req.ID] = e
 	for _, part := range e.req.Parts {
 		s.cache.touch(now, part.ID)
@@ -91,15 +104,15 @@
 }
 
 func (s *server) firstToken(now time.Time, e *entry) {
-	s.own.Unread[place(e.req.Tier)] -= e.uncached
+	s.own.Unread[e.level()] -= e.uncached
 	s.answered(now)
 }
 
 func (s *server) end(now time.Time, e *entry, o request.Outcome) {
 	s.own.Held -= e.held
-	s.own.Running[place(e.req.Tier)]--
+	s.own.Running[e.level()]--
 	if !e.first {
-		s.own.Unread[place(e.req.Tier)] -= e.uncached
+		s.own.Unread[e.level()] -= e.uncached
 	}
 	delete(s.open, e.req.ID)
 	s.note(now, e, o)
--- a/internal/trial/model/engine.go
+++ b/internal/trial/model/engine.go
@@ -63,8 +63,8 @@
 		e.cache[p.ID] = now
 	}
 	i, _ := slices.BinarySearchFunc(e.queue, j, func(a, b *job) int {
-		if a.call.req.Tier != b.call.req.Tier {
-			return a.call.req.Tier - b.call.req.Tier
+		if a.call.urgency != b.call.urgency {
+			return a.call.urgency - b.call.urgency
 		}
 		return a.call.sent.Compare(b.call.sent)
 	})
--- a/internal/trial/model/world.go
+++ b/internal/trial/model/world.go
@@ -54,6 +54,8 @@
 	sent   time.Time
 	engine *engine
 	tokens int
+	// urgency orders calls at an engine.
+	urgency int
 	// first is when the first event came, last the latest event, pause the longest time between two.
 	first, last time.Time
 	pause       time.Duration
@@ -309,7 +311,7 @@
 		w.end(now, c, request.Unreachable)
 		return
 	}
-	c.engine = e
+	c.engine, c.urgency = e, eff.Urgency
 	e.admit(now, c, w.engine(eff.From), w.engines)
 	w.work(now, e)
 }
