placement: a decision looks at the own zone and at the servers that keep a prompt's parts

Change: parts in LRU lists, the holders of a shared part in an index, other zones only if no near server is soon free.

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -136,6 +136,9 @@
 	failure *reply
 	sent    int
 	server  string
+	// urgency and why are those of the latest attempt.
+	urgency int
+	why     string
 	// ended tells that the caller's connection must end without an answer.
 	ended bool
 }
@@ -209,7 +212,7 @@
 				return
 			}
 			t.sent++
-			t.server = eff.Server
+			t.server, t.urgency, t.why = eff.Server, eff.Urgency, eff.Why
 			res, done := t.attempt(eff)
 			t.e.loop.Finish(res, done)
 			if t.ended {
--- a/internal/entry/edge/fail.go
+++ b/internal/entry/edge/fail.go
@@ -107,6 +107,9 @@
 	if table := t.e.table.Load(); table != nil {
 		ev = ev.Int64("Version", table.Version)
 	}
+	if t.req != nil {
+		ev = ev.Int("Tier", t.req.Tier).Int("Urgency", t.urgency)
+	}
 	return ev.Str("Server", t.server).Int("Sent", t.sent).Dur("Took", time.Since(t.arrived))
 }
 
--- a/internal/traffic/placement/estimate.go
+++ b/internal/traffic/placement/estimate.go
@@ -15,8 +15,11 @@
 	assumedOutput = 512
 	// cacheLifetime is how long a part is assumed to stay in an engine's cache.
 	cacheLifetime = 20 * time.Second
-	// maxParts is the number of remembered parts of a server from which old ones are dropped.
-	maxParts = 4096
+	// maxParts bounds the parts that are remembered of a server, maxHolders the servers of a part.
+	maxParts   = 4096
+	maxHolders = 4
+	// lookAround is the cost of the best near server from which all servers are looked at.
+	lookAround = 250 * time.Millisecond
 	// peerLifetime is how long another host's word of its outstanding work counts.
 	peerLifetime = 1500 * time.Millisecond
 	// notHome is the cost of a server that is not the first for a prompt's shared prefix.
@@ -81,27 +84,43 @@
 }
 
 // choose returns the server with the least cost: the request's own delay, that of the work which runs
-// there, and a surcharge for doubtful or distant servers.
+// there, and a surcharge for doubtful or distant servers. It looks at the own availability zone and at the
+// servers that keep the prompt's shared part, and at all others if none of these is soon free.
 func (p *Policy) choose(now time.Time, e *entry) choice {
-	var best choice
-	for pass := range 2 {
-		for _, s := range e.svc.servers {
-			if pass == 0 && (s.avoid(now) || e.hasTried(s)) {
-				continue
-			}
-			c := p.consider(now, e, s)
-			if best.server == nil || c.full != best.full && best.full || c.full == best.full && c.cost < best.cost {
-				best = c
-			}
-		}
-		// Servers that were set aside are better than none.
-		if best.server != nil {
-			break
+	near := e.svc.zones[p.zone]
+	home := e.homeOf(near)
+	best := p.best(now, e, near, home, choice{})
+	best = p.best(now, e, e.svc.holders.of(e.req.Parts), home, best)
+	if best.server == nil || best.full || best.cost > lookAround {
+		best = p.best(now, e, e.svc.servers, home, best)
+	}
+	if best.server != nil {
+		return best
+	}
+	// Servers that were set aside are better than none.
+	for _, s := range e.svc.servers {
+		best = better(best, p.consider(now, e, s, home))
+	}
+	return best
+}
+
+// best returns the better of a choice and those among servers that are not avoided.
+func (p *Policy) best(now time.Time, e *entry, servers []*server, home *server, best choice) choice {
+	for _, s := range servers {
+		if !s.gone && !s.avoid(now) && !e.hasTried(s) {
+			best = better(best, p.consider(now, e, s, home))
 		}
 	}
 	return best
 }
 
+func better(a, b choice) choice {
+	if a.server == nil || a.full != b.full && a.full || a.full == b.full && b.cost < a.cost {
+		return b
+	}
+	return a
+}
+
 func (e *entry) hasTried(s *server) bool {
 	for _, t := range e.tried {
 		if t == s {
@@ -111,10 +130,10 @@
 	return false
 }
 
-func (p *Policy) consider(now time.Time, e *entry, s *server) choice {
+func (p *Policy) consider(now time.Time, e *entry, s, home *server) choice {
 	var c choice
 	if e.svc.engine != nil {
-		c = p.engine(now, e, s)
+		c = p.engine(now, e, s, home)
 	} else {
 		c = p.plain(now, e, s)
 	}
@@ -128,12 +147,12 @@
 	c.cost += s.doubt(now)
 	// Hosts learn of each other's work late: each leans to servers of its own, so that they do not all
 	// send to the one that looked free last.
-	c.cost += time.Duration(rankOf(s.info.ID, p.lean) % uint64(leanTime))
+	c.cost += time.Duration(mix(s.rank, p.lean) % uint64(leanTime))
 	return c
 }
 
 // engine estimates a model engine: prompts before this one, its own, and the step time of the batch.
-func (p *Policy) engine(now time.Time, e *entry, s *server) choice {
+func (p *Policy) engine(now time.Time, e *entry, s, home *server) choice {
 	w := s.load()
 	l := &e.svc.learned
 	c := choice{uncached: e.unread(now, s), why: "least expected delay"}
@@ -161,7 +180,7 @@
 	if e.long != s.forLong && len(e.svc.servers) > 1 {
 		c.cost += time.Duration(e.svc.mixing(e) * float64(otherPartition))
 	}
-	if len(e.req.Parts) > 1 && e.long && !p.home(e, s) {
+	if len(e.req.Parts) > 1 && e.long && s != home {
 		c.cost += notHome
 	}
 	if m := e.svc.engine.CacheTokens; m > 0 && float64(w.Held+e.req.PromptTokens) > fullHeld*float64(m) {
@@ -199,8 +218,8 @@
 		return
 	}
 	best := c.uncached
-	for _, o := range e.svc.servers {
-		if o == s || o.avoid(now) || o.rate(now) > doubtfulRate {
+	for _, o := range e.svc.holders.of(parts) {
+		if o == s || o.gone || o.avoid(now) || o.rate(now) > doubtfulRate {
 			continue
 		}
 		if n := o.cache.missing(now, parts); n < best {
@@ -214,17 +233,21 @@
 	c.uncached = best
 }
 
-// home reports whether s is the first server of the request's shared prefix within its availability zone:
-// hosts that do not know where a part is kept send it there.
-func (p *Policy) home(e *entry, s *server) bool {
+// homeOf returns the first server for the request's shared prefix among those of an availability zone: hosts
+// that do not know where a part is kept send it there.
+func (e *entry) homeOf(servers []*server) *server {
+	if len(e.req.Parts) < 2 || !e.long {
+		return nil
+	}
 	key := affinity(e.req.Parts)
-	mine := rankOf(s.info.ID, key)
-	for _, o := range e.svc.servers {
-		if o != s && o.info.Zone == s.info.Zone && o.forLong == s.forLong && rankOf(o.info.ID, key) < mine {
-			return false
+	var home *server
+	var least uint64
+	for _, s := range servers {
+		if rank := mix(s.rank, key); s.forLong && (home == nil || rank < least) {
+			home, least = s, rank
 		}
 	}
-	return true
+	return home
 }
 
 // affinity is the longest prefix that other requests may share.
@@ -254,14 +277,14 @@
 // partition keeps part of the servers of each availability zone for long prompts, so that short
 // conversations beside them are not paused. All hosts choose the same servers.
 func (s *service) partition() {
+	s.zones = map[string][]*server{}
+	for _, x := range s.servers {
+		s.zones[x.info.Zone] = append(s.zones[x.info.Zone], x)
+	}
 	if s.engine == nil {
 		return
 	}
-	zones := map[string][]*server{}
-	for _, x := range s.servers {
-		zones[x.info.Zone] = append(zones[x.info.Zone], x)
-	}
-	for _, l := range zones {
+	for _, l := range s.zones {
 		n := (len(l)*longShare + 99) / 100
 		for i, x := range l {
 			x.forLong = i < n
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -100,6 +100,9 @@
 	name    string
 	engine  *route.Engine
 	servers []*server
+	// zones holds the servers by availability zone.
+	zones   map[string][]*server
+	holders holders
 	waiting []*entry
 	learned rates
 	repeats budget
@@ -121,7 +124,7 @@
 func (p *Policy) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, learned: newRates()}
+		s = &service{name: name, learned: newRates(), holders: newHolders()}
 		p.services[name] = s
 	}
 	return s
@@ -130,6 +133,9 @@
 // Servers replaces the list of backend servers.
 func (p *Policy) Servers(now time.Time, list []backend.Server) []dispatch.Effect {
 	known := make(map[string]bool, len(list))
+	for _, s := range p.servers {
+		s.gone = true
+	}
 	for _, s := range p.services {
 		s.servers = s.servers[:0]
 	}
@@ -144,7 +150,7 @@
 			}
 		}
 		s.info = info
-		if info.Serves() {
+		if s.gone = !info.Serves(); !s.gone {
 			svc := p.service(info.Service)
 			svc.servers = append(svc.servers, s)
 		}
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"shallotramp/internal/fleet/backend"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
@@ -24,6 +26,8 @@
 	reported   dispatch.Load
 	reportedAt time.Time
 	open       map[request.ID]*entry
+	// gone servers are no longer listed, or leave.
+	gone bool
 }
 
 // Levels is how many levels of urgency are told apart: two for each of four tiers. Within a tier, requests
@@ -79,14 +83,19 @@
 }
 
 func newServer(info backend.Server) *server {
-	return &server{info: info, rank: rankOf(info.ID, 0), open: map[request.ID]*entry{}, cache: newCache()}
+	return &server{info: info, rank: rankOf(info.ID), open: map[request.ID]*entry{}, cache: newCache()}
 }
 
-// rankOf hashes a server's name with a key: for one key, all hosts order the servers alike.
-func rankOf(id string, key uint64) uint64 {
+// rankOf hashes a server's name: all hosts order the servers alike.
+func rankOf(id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id)) // A hash's Write returns no error.
-	v := h.Sum64() ^ key*0x9e3779b97f4a7c15
+	return mix(h.Sum64(), 0)
+}
+
+// mix hashes a rank with a key, for another order of the servers by each key.
+func mix(rank, key uint64) uint64 {
+	v := rank ^ key*0x9e3779b97f4a7c15
 	v ^= v >> 31
 	v *= 0xbf58476d1ce4e5b9
 	v ^= v >> 29
@@ -101,6 +110,9 @@
 	for _, part := range e.req.Parts {
 		s.cache.touch(now, part.ID)
 	}
+	if len(e.req.Parts) > 0 {
+		e.svc.holders.add(affinity(e.req.Parts), s)
+	}
 }
 
 func (s *server) firstToken(now time.Time, e *entry) {
@@ -147,28 +159,24 @@
 
 // cache remembers which parts of prompts a server has read of late.
 type cache struct {
-	used map[uint64]time.Time
+	used *simplelru.LRU[uint64, time.Time]
 }
 
-func newCache() cache { return cache{used: map[uint64]time.Time{}} }
-
-func (c *cache) touch(now time.Time, id uint64) {
-	c.used[id] = now
-	if len(c.used) <= maxParts {
-		return
-	}
-	for id, t := range c.used {
-		if now.Sub(t) > cacheLifetime {
-			delete(c.used, id)
-		}
+func newCache() cache {
+	l, err := simplelru.NewLRU[uint64, time.Time](maxParts, nil)
+	if err != nil {
+		panic(err) // The size is a constant above 0.
 	}
+	return cache{used: l}
 }
 
+func (c *cache) touch(now time.Time, id uint64) { c.used.Add(id, now) }
+
 // missing returns the tokens from the first part on that the server is not known to keep.
 func (c *cache) missing(now time.Time, parts []request.Part) int {
 	n := 0
 	for _, part := range parts {
-		t, ok := c.used[part.ID]
+		t, ok := c.used.Peek(part.ID)
 		if n > 0 || !ok || now.Sub(t) > cacheLifetime {
 			n += part.Tokens
 		}
@@ -176,6 +184,38 @@
 	return n
 }
 
+// holders remembers which servers were sent a shared part last.
+type holders struct {
+	by *simplelru.LRU[uint64, []*server]
+}
+
+func newHolders() holders {
+	l, err := simplelru.NewLRU[uint64, []*server](maxParts, nil)
+	if err != nil {
+		panic(err) // The size is a constant above 0.
+	}
+	return holders{by: l}
+}
+
+func (h *holders) add(id uint64, s *server) {
+	old, _ := h.by.Get(id)
+	next := append(make([]*server, 0, maxHolders), s)
+	for _, o := range old {
+		if o != s && len(next) < maxHolders {
+			next = append(next, o)
+		}
+	}
+	h.by.Add(id, next)
+}
+
+func (h *holders) of(parts []request.Part) []*server {
+	if len(parts) == 0 {
+		return nil
+	}
+	l, _ := h.by.Get(affinity(parts))
+	return l
+}
+
 // Seen tells that a server was sent a prompt with a shared part.
 type Seen struct {
 	Server string
@@ -212,6 +252,7 @@
 	for _, seen := range peer.Seen {
 		if s := p.servers[seen.Server]; s != nil {
 			s.cache.touch(now, seen.Part)
+			p.service(s.info.Service).holders.add(seen.Part, s)
 		}
 	}
 	peer.Seen = nil
