route, placement: an organisation's priority comes before the route's, which still counts

Change: tiers are the ranks of (organisation's, route's) priority. Ruled out: the urgency within a tier (broken before it, too).

--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -120,6 +120,7 @@
 	r     *http.Request
 	call  Call
 	body  []byte
+	table *route.Table
 	route *route.Route
 	org   *route.Organisation
 	// ctx ends when the caller leaves or its time is over.
@@ -163,6 +164,7 @@
 // admit finds the request's route and organisation and reads its body.
 func (t *transfer) admit() *failure {
 	table := t.e.table.Load()
+	t.table = table
 	if table == nil {
 		return &failure{status: http.StatusServiceUnavailable, retryAfter: retryUnconfigured, cause: "no configuration is known yet"}
 	}
@@ -233,7 +235,7 @@
 func (t *transfer) describe() *request.Request {
 	r := &request.Request{
 		ID:    request.ID(t.call.ID + "/" + strconv.FormatUint(t.e.serial.Add(1), 36)),
-		Class: t.route.Name, Route: t.route.Name, Tier: t.tier(),
+		Class: t.route.Name, Route: t.route.Name, Tier: t.table.Tier(t.route, t.org),
 		Pool: t.route.Pick(hashOf(t.call.ID)), Idempotent: t.route.Repeatable(),
 		Streaming: t.route.Kind == route.Stream, Attempts: t.route.Attempts,
 		PromptTokens: t.call.PromptTokens, MaxTokens: t.call.MaxTokens, Parts: t.call.Parts,
@@ -246,13 +248,6 @@
 	return r
 }
 
-func (t *transfer) tier() int {
-	if t.org != nil && t.org.HasPriority {
-		return t.org.Priority
-	}
-	return t.route.Priority
-}
-
 // count counts the request once, when it began to run.
 func (t *transfer) count() {
 	if !t.counted && t.org != nil {
--- a/internal/entry/edge/fail.go
+++ b/internal/entry/edge/fail.go
@@ -104,8 +104,8 @@
 	if t.org != nil {
 		ev = ev.Str("Organisation", t.org.Name)
 	}
-	if table := t.e.table.Load(); table != nil {
-		ev = ev.Int64("Version", table.Version)
+	if t.table != nil {
+		ev = ev.Int64("Version", t.table.Version)
 	}
 	if t.req != nil {
 		ev = ev.Int("Tier", t.req.Tier).Int("Urgency", t.urgency)
--- a/internal/traffic/placement/estimate.go
+++ b/internal/traffic/placement/estimate.go
@@ -157,7 +157,7 @@
 	l := &e.svc.learned
 	c := choice{uncached: e.unread(now, s), why: "least expected delay"}
 	p.fetch(now, e, s, &c)
-	running, unread := w.ahead(e.level())
+	running, unread := w.ahead(p.level(e))
 	slots := max(s.info.Slots, 1)
 	c.first = l.reading(unread+c.uncached) + l.base + time.Duration(w.all())*placeTime
 	if c.from != nil {
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -90,6 +90,8 @@
 	long    bool
 	// late requests can no longer have their first token by the goal; they come after others of the tier.
 	late bool
+	// level is the urgency of the current attempt.
+	level int
 	// waits is when the caller began to wait for the next event: its arrival, or the end of a stream that
 	// is to be resumed.
 	waits time.Time
@@ -218,11 +220,12 @@
 
 func (p *Policy) start(now time.Time, e *entry, c choice) dispatch.Effect {
 	e.server, e.started, e.first = c.server, now, false
+	e.level = p.level(e)
 	e.uncached, e.outlook = c.uncached, c.first
 	e.held = e.req.PromptTokens + min(e.req.MaxTokens, assumedOutput)
 	e.sends++
 	c.server.begin(now, e)
-	out := dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: c.server.info.ID, Attempt: e.sends, Urgency: e.level(), Why: c.why}
+	out := dispatch.Effect{Kind: dispatch.Start, ID: e.req.ID, Server: c.server.info.ID, Attempt: e.sends, Urgency: e.level, Why: c.why}
 	if e.svc.engine != nil {
 		e.svc.reading.add(now, e.svc.learned.reading(c.uncached))
 		p.sawPart(c.server, e.req.Parts)
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -30,9 +30,9 @@
 	gone bool
 }
 
-// Levels is how many levels of urgency are told apart: two for each of four tiers. Within a tier, requests
-// that can no longer be on time come after those that can.
-const Levels = 8
+// Levels is how many levels of urgency are told apart: two for each tier, if there are few enough. Within a
+// tier, requests that can no longer be on time come after those that can.
+const Levels = 10
 
 // Work is outstanding work on a server.
 type Work struct {
@@ -74,8 +74,12 @@
 }
 
 // level returns the request's urgency, 0 the most urgent.
-func (e *entry) level() int {
-	l := 2 * min(max(e.req.Tier, 0), Levels/2-1)
+func (p *Policy) level(e *entry) int {
+	tier := max(e.req.Tier, 0)
+	if p.table == nil || 2*p.table.Tiers() > Levels {
+		return min(tier, Levels-1)
+	}
+	l := min(2*tier, Levels-2)
 	if e.late {
 		l++
 	}
@@ -104,8 +108,8 @@
 
 func (s *server) begin(now time.Time, e *entry) {
 	s.own.Held += e.held
-	s.own.Running[e.level()]++
-	s.own.Unread[e.level()] += e.uncached
+	s.own.Running[e.level]++
+	s.own.Unread[e.level] += e.uncached
 	s.open[e.req.ID] = e
 	for _, part := range e.req.Parts {
 		s.cache.touch(now, part.ID)
@@ -116,15 +120,15 @@
 }
 
 func (s *server) firstToken(now time.Time, e *entry) {
-	s.own.Unread[e.level()] -= e.uncached
+	s.own.Unread[e.level] -= e.uncached
 	s.answered(now)
 }
 
 func (s *server) end(now time.Time, e *entry, o request.Outcome) {
 	s.own.Held -= e.held
-	s.own.Running[e.level()]--
+	s.own.Running[e.level]--
 	if !e.first {
-		s.own.Unread[e.level()] -= e.uncached
+		s.own.Unread[e.level] -= e.uncached
 	}
 	delete(s.open, e.req.ID)
 	s.note(now, e, o)
--- a/internal/traffic/route/route.go
+++ b/internal/traffic/route/route.go
@@ -4,7 +4,9 @@
 package route
 
 import (
+	"cmp"
 	"hash/maphash"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -133,6 +135,23 @@
 	keys   map[uint64]keyEntry
 	seed   maphash.Seed
 	routes int
+	// ranks are the priorities that prompted requests can have, and plain those of others, each in order.
+	ranks, plain []priority
+}
+
+// priority orders requests: first by organisation, or by route where it has none, then by route.
+type priority struct{ first, second int }
+
+func (p priority) compare(o priority) int {
+	return cmp.Or(cmp.Compare(p.first, o.first), cmp.Compare(p.second, o.second))
+}
+
+func priorityOf(r *Route, o *Organisation) priority {
+	p := priority{r.Priority, r.Priority}
+	if o != nil && o.HasPriority {
+		p.first = o.Priority
+	}
+	return p
 }
 
 type keyEntry struct {
@@ -160,9 +179,44 @@
 	for k, o := range keys {
 		t.keys[maphash.String(t.seed, k)] = keyEntry{key: k, organisation: o}
 	}
+	t.rank(routes, keys)
 	return t
 }
 
+// rank lists the priorities that requests can have.
+func (t *Table) rank(routes []*Route, keys map[string]*Organisation) {
+	organisations := map[*Organisation]bool{nil: true}
+	for _, o := range keys {
+		organisations[o] = true
+	}
+	for _, r := range routes {
+		list := &t.plain
+		if r.Prompted {
+			list = &t.ranks
+		}
+		for o := range organisations {
+			p := priorityOf(r, o)
+			if i, ok := slices.BinarySearchFunc(*list, p, priority.compare); !ok {
+				*list = slices.Insert(*list, i, p)
+			}
+		}
+	}
+}
+
+// Tier returns the rank of an organisation's request on a route among all that the same servers may get, 0
+// the highest. An organisation's priority comes before the route's.
+func (t *Table) Tier(r *Route, o *Organisation) int {
+	list := t.plain
+	if r.Prompted {
+		list = t.ranks
+	}
+	i, _ := slices.BinarySearchFunc(list, priorityOf(r, o), priority.compare)
+	return i
+}
+
+// Tiers returns how many tiers prompted requests can have.
+func (t *Table) Tiers() int { return len(t.ranks) }
+
 // Len returns the number of routes.
 func (t *Table) Len() int { return t.routes }
 
