lease, gossip, station: what many hosts ask of the store

Change: hinted candidates bid only after a hint, those that follow the store; the holder tells all hosts each second; word of newer state must last half a second.

--- a/internal/command/cli/edge.go
+++ b/internal/command/cli/edge.go
@@ -62,12 +62,12 @@
 // platform connects the host with the platform that the settings name.
 func (c *EdgeCommand) platform(set platform.Settings) station.Platform {
 	p := station.Platform{
-		Store:       platform.NewStore(set.Store, nil),
+		Store:       platform.NewStore(set.Store, station.CountCall),
 		Kinds:       station.Kinds{Table: platform.ConfigKind, TableName: platform.ConfigName, Servers: platform.ServersKind},
 		DecodeTable: platform.DecodeTable, DecodeServer: platform.DecodeServer, Codec: platform.Codec{},
 	}
 	if set.ReportsUsage || set.OrdersServers {
-		p.Duties = platform.NewDuties(set.Duties, set.Host, nil)
+		p.Duties = platform.NewDuties(set.Duties, set.Host, station.CountCall)
 	}
 	return p
 }
--- a/internal/engine/connection/connection_test.go
+++ b/internal/engine/connection/connection_test.go
@@ -191,7 +191,10 @@
 	nobody := netip.MustParseAddrPort(closed.Addr().String())
 	_ = closed.Close()
 	silent := serve(t, func(_ int, _ net.Conn, br *bufio.Reader) { _, _ = read(br); _, _ = read(br) })
-	garbage := serve(t, func(_ int, c net.Conn, br *bufio.Reader) { _, _ = read(br); _, _ = io.WriteString(c, "no answer\r\n\r\n") })
+	garbage := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		_, _ = read(br)
+		_, _ = io.WriteString(c, "no answer\r\n\r\n")
+	})
 	broken := serve(t, func(_ int, c net.Conn, br *bufio.Reader) {
 		_, _ = read(br)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 100\r\n\r\nhalf")
--- a/internal/entry/station/duty.go
+++ b/internal/entry/station/duty.go
@@ -22,9 +22,9 @@
 	// hosts stop at once.
 	saveInterval = time.Second
 	// holderSilence is how long no host says that it holds the duties before this one looks at the lease.
-	holderSilence = 1500 * time.Millisecond
+	holderSilence = 2200 * time.Millisecond
 	// warmUp is how long a new holder listens before it reports: each host tells its counts within a second.
-	warmUp = 1500 * time.Millisecond
+	warmUp = 2500 * time.Millisecond
 )
 
 // Duties are the calls that one host at a time makes, under a fencing number.
@@ -74,6 +74,7 @@
 	}
 	now := time.Now()
 	fence, ok := s.duty.Held(now)
+	s.fleet.SetHolder(ok)
 	if !ok {
 		d.fence = 0
 		s.seekHolder(now)
@@ -103,7 +104,8 @@
 			return
 		}
 	}
-	if now.Sub(s.sought) > holderSilence {
+	// The hosts that follow the store are candidates enough.
+	if now.Sub(s.sought) > holderSilence && len(s.neighbours()) == 0 {
 		s.sought = now
 		s.leases.Hint(dutyRole)
 	}
--- a/internal/entry/station/follow.go
+++ b/internal/entry/station/follow.go
@@ -108,7 +108,7 @@
 func (s *Station) publish(version string) {
 	list := s.directory.List()
 	if sum := digest(list); sum != s.doubt.digest {
-		s.doubt = doubt{digest: sum, changed: time.Now(), asked: s.doubt.asked}
+		s.doubt.digest, s.doubt.changed, s.doubt.since = sum, time.Now(), time.Time{}
 	}
 	s.logServers(list, version)
 	s.servers.Store(&list)
--- a/internal/entry/station/station.go
+++ b/internal/entry/station/station.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
@@ -97,7 +99,6 @@
 	servers  atomic.Pointer[[]backend.Server]
 	listed   atomic.Bool
 	stopping atomic.Bool
-	heardOf  atomic.Int64
 	// sought is when the lease was looked at or its holder heard; the step owns it.
 	sought time.Time
 
@@ -135,7 +136,7 @@
 	s.lists = mirror.New(list, p.Kinds.Servers, cfg.Apply, relistInterval, func(u mirror.Update) {
 		s.feed.Apply(p.Kinds.Servers, u, list.Direct(), time.Now())
 		s.followServers(u)
-	}, mirror.WithPause(coalesceTime))
+	}, mirror.WithPause(cfg.Apply/coalesceShare))
 	if p.Duties != nil {
 		s.leases = lease.NewManager(p.Store, s.id, lease.WithConfig(leaseConfig(cfg.Term)), lease.WithObserver(s.leaseChanged))
 		s.leases.SetEager(false)
@@ -157,9 +158,9 @@
 const (
 	// relistInterval is the time between two whole lists.
 	relistInterval = 20 * time.Second
-	// coalesceTime is the pause after a change of the servers' list: changes come in groups, and each call is
-	// paid for.
-	coalesceTime = 150 * time.Millisecond
+	// coalesceShare is the part of the time to apply a change, one in so many, for which the host waits after
+	// a change of the servers' list: changes come in groups, and each call is paid for.
+	coalesceShare = 8
 	// watchers is how many hosts of an availability zone follow the store for the others.
 	watchers = 2
 	// stepInterval is how often the host looks at its duties and its directory.
@@ -197,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	metrics, err := s.listen(s.cfg.Metrics, http.HandlerFunc(s.serveMetrics))
+	measures, err := s.listen(s.cfg.Metrics, http.HandlerFunc(s.serveMetrics))
 	if err != nil {
 		return err
 	}
@@ -217,7 +218,7 @@
 		err = errors.CombineErrors(err, <-done)
 	}
 	_ = ready.Close() // The process ends; open checks of readiness need no answer.
-	_ = metrics.Close()
+	_ = measures.Close()
 	_ = fleet.Close()
 	s.log.Info().Str("Event", "Stopped").Send()
 	return err
@@ -250,4 +251,14 @@
 func (s *Station) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	s.edge.WriteMetrics(w)
+	metrics.WritePrometheus(w, false)
+}
+
+// CountCall counts a call to the platform by its kind and result.
+func CountCall(call string, err error) {
+	result := "done"
+	if err != nil {
+		result = "failed"
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`shallotramp_platform_calls_total{call=%q,result=%q}`, call, result)).Inc()
 }
--- a/internal/entry/station/word.go
+++ b/internal/entry/station/word.go
@@ -100,12 +100,6 @@
 			s.tally.Merge(m.Host, map[tally.Window]tally.Counts{tally.Window(c.GetWindow()): c.GetRequests()})
 		}
 	}
-	if t := s.edge.Table(); t != nil && p.GetTableVersion() > t.Version {
-		if s.heardOf.Swap(p.GetTableVersion()) != p.GetTableVersion() {
-			s.log.Info().Str("Event", "TableBehind").Int64("Version", t.Version).Int64("Heard", p.GetTableVersion()).Str("From", m.Host).Send()
-			s.tables.Poke()
-		}
-	}
 	s.compare(p, m, time.Now())
 	peer := decodePeer(p, m)
 	hosts := len(s.fleet.Members(time.Now())) + 1
@@ -118,6 +112,10 @@
 	changed time.Time
 	// since is when another host first told of a newer list, and asked when the store was asked for it.
 	since, asked time.Time
+	// table is a newer version of the configuration that another host told first at tableSince, and
+	// tableAsked when the store was asked for it.
+	table                  int64
+	tableSince, tableAsked time.Time
 }
 
 // compare lists the backend servers anew if another host's list has changed later and stays different: the
@@ -125,6 +123,7 @@
 func (s *Station) compare(p *gossip.Packet, m gossip.Member, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.compareTable(p, m, now)
 	d := &s.doubt
 	theirs := now.Add(-time.Duration(p.GetListAgeMs()) * time.Millisecond)
 	if p.GetListDigest() == 0 || p.GetListDigest() == d.digest || !theirs.After(d.changed) {
@@ -140,6 +139,22 @@
 	}
 }
 
+// compareTable lists the configuration anew if another host has had a newer one for a while.
+func (s *Station) compareTable(p *gossip.Packet, m gossip.Member, now time.Time) {
+	t, d := s.edge.Table(), &s.doubt
+	if t == nil || p.GetTableVersion() <= t.Version {
+		return
+	}
+	switch {
+	case d.table != p.GetTableVersion():
+		d.table, d.tableSince = p.GetTableVersion(), now
+	case now.Sub(d.tableSince) > doubtTime && now.Sub(d.tableAsked) > doubtTime:
+		d.tableAsked = now
+		s.log.Info().Str("Event", "TableBehind").Int64("Version", t.Version).Int64("Heard", d.table).Str("From", m.Host).Send()
+		s.tables.Poke()
+	}
+}
+
 // digest sums up a list of servers.
 func digest(list []backend.Server) uint64 {
 	h := fnv.New64a()
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -25,8 +25,10 @@
 	farInterval  = time.Second
 	// fewHosts is the number of hosts to which each packet goes; of more, a part gets it in turn.
 	fewHosts = 12
-	// lifetime is how long a silent host counts as a member, in packets of another availability zone.
-	lifetime = 4 * time.Second
+	// lifetime is how long a silent host counts as a member at least, and lostPackets how many packets of
+	// another availability zone may be missed.
+	lifetime    = 4 * time.Second
+	lostPackets = 3
 	// keepTrying is how long packets are sent to a silent host: it may be cut off and return.
 	keepTrying = 20 * time.Second
 	// maxPacket bounds a datagram.
@@ -66,6 +68,8 @@
 	mu      sync.Mutex
 	members map[netip.Addr]*peer
 	turn    int
+	// holder tells that this host holds the duties: all others hear it each second.
+	holder bool
 }
 
 type peer struct {
@@ -85,13 +89,20 @@
 	x.self.Seeds = seeds
 }
 
+// SetHolder tells whether this host holds the duties.
+func (x *Exchange) SetHolder(holder bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.holder = holder
+}
+
 // Members returns the other hosts that were heard of late.
 func (x *Exchange) Members(now time.Time) []Member {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var out []Member
 	for _, p := range x.members {
-		if now.Sub(p.Heard) < lifetime {
+		if now.Sub(p.Heard) < x.lifetime() {
 			out = append(out, p.Member)
 		}
 	}
@@ -159,7 +170,7 @@
 	for _, raw := range p.GetPeers() {
 		if a, ok := netip.AddrFromSlice(raw); ok && a != x.self.Addr && x.members[a] == nil {
 			// Heard of, not heard: it becomes a member with its first packet.
-			x.members[a] = &peer{Member: Member{Addr: a, Heard: now.Add(-lifetime)}}
+			x.members[a] = &peer{Member: Member{Addr: a, Heard: now.Add(-keepTrying / 2)}}
 		}
 	}
 	x.mu.Unlock()
@@ -211,7 +222,7 @@
 	defer x.mu.Unlock()
 	for _, a := range x.self.Seeds {
 		if a != x.self.Addr && x.members[a] == nil {
-			x.members[a] = &peer{Member: Member{Addr: a, Heard: now.Add(-lifetime)}}
+			x.members[a] = &peer{Member: Member{Addr: a, Heard: now.Add(-keepTrying / 2)}}
 		}
 	}
 	var due []*peer
@@ -222,7 +233,7 @@
 			delete(x.members, a)
 			continue
 		}
-		if silent < lifetime {
+		if silent < x.lifetime() {
 			known = append(known, a.AsSlice())
 		}
 		if now.Sub(p.sent) >= x.interval(p, silent)-nearInterval/2 {
@@ -258,13 +269,23 @@
 
 func (x *Exchange) interval(p *peer, silent time.Duration) time.Duration {
 	switch {
-	case silent >= lifetime:
+	case silent >= x.lifetime():
 		return seedInterval
 	case p.Zone == x.self.Zone:
 		return nearInterval
 	case p.Holder:
 		return farInterval / 2
+	case x.holder:
+		return farInterval
 	}
-	// In a large fleet each host of another zone is told less often: the bytes grow with the hosts only.
+	return x.farInterval()
+}
+
+// farInterval is the time between two packets to a host of another availability zone. In a large fleet each
+// is told less often: the bytes grow with the hosts only.
+func (x *Exchange) farInterval() time.Duration {
 	return farInterval * time.Duration(max(1, len(x.members)/fewHosts))
 }
+
+// lifetime is how long a silent host counts as a member.
+func (x *Exchange) lifetime() time.Duration { return max(lifetime, lostPackets*x.farInterval()) }
--- a/internal/fleet/lease/core.go
+++ b/internal/fleet/lease/core.go
@@ -11,6 +11,9 @@
 // keptAttempts bounds the requests whose sending time is remembered.
 const keptAttempts = 16
 
+// hintTerms is how many terms a hint lasts: a successor waits for one before it bids.
+const hintTerms = 3
+
 // Core decides for one host and one role. It does no I/O, reads no clock and is
 // used by one goroutine. All times are of the host's own clock.
 type Core struct {
@@ -39,6 +42,8 @@
 	deadline time.Time
 
 	readAt, bidAt, renewAt time.Time
+	// hinted is when the holder was last said to be silent.
+	hinted time.Time
 
 	// notify is told of each transition.
 	notify func(chart.Transition[State, Event])
@@ -49,7 +54,7 @@
 func NewCore(cfg Config, self string, rng *rand.Rand, now time.Time) *Core {
 	return &Core{
 		cfg: cfg, self: self, rng: rng, machine: leaseChart.New(),
-		sent: map[uint64]time.Time{}, readAt: now, notify: func(chart.Transition[State, Event]) {},
+		sent: map[uint64]time.Time{}, readAt: now, hinted: now, notify: func(chart.Transition[State, Event]) {},
 	}
 }
 
@@ -71,7 +76,12 @@
 func (c *Core) SetLoad(n int) { c.load = n }
 
 // Hint asks for a read at once, for another host told that the lease has changed.
-func (c *Core) Hint(now time.Time) { c.readAt = now }
+func (c *Core) Hint(now time.Time) { c.readAt, c.hinted = now, now }
+
+// mayBid reports whether the candidate has reason to think that the role is free.
+func (c *Core) mayBid(now time.Time) bool {
+	return !c.cfg.Hinted || now.Sub(c.hinted) < hintTerms*c.cfg.Term
+}
 
 // Next returns when [Core.Tick] has something to do without another event.
 func (c *Core) Next() time.Time {
@@ -96,7 +106,9 @@
 	switch {
 	case c.unsure:
 	case c.State() == Following:
-		consider(c.bidAt)
+		if !c.cfg.Hinted || c.bidAt.Sub(c.hinted) < hintTerms*c.cfg.Term {
+			consider(c.bidAt)
+		}
 	case c.State() == Held:
 		consider(c.renewAt)
 	}
@@ -117,7 +129,7 @@
 		return c.read(now)
 	case c.unsure:
 		return nil
-	case c.State() == Following && due(c.bidAt):
+	case c.State() == Following && due(c.bidAt) && c.mayBid(now):
 		return c.bid(now)
 	case c.State() == Held && due(c.renewAt):
 		return c.write(now, UpdateCall, Record{Fence: c.grant.Fence})
@@ -218,7 +230,12 @@
 // retry asks for a read after a delay and for no write before it.
 func (c *Core) retry(now time.Time) {
 	c.unsure = true
-	c.readAt = now.Add(c.cfg.Retry/2 + time.Duration(c.rng.Int64N(int64(c.cfg.Retry))))
+	d := c.cfg.Retry
+	if c.cfg.Hinted && c.State() == Following {
+		// Many candidates may follow: a platform that is away must not get a call of each all the time.
+		d = max(d, c.cfg.Renew)
+	}
+	c.readAt = now.Add(d/2 + time.Duration(c.rng.Int64N(int64(d))))
 }
 
 // observe notes a version and draws when this host may bid for it.
--- a/internal/fleet/lease/core_test.go
+++ b/internal/fleet/lease/core_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/ops/chart"
 )
 
@@ -413,3 +414,40 @@
 		t.Errorf("state %s, want %s", c.State(), s)
 	}
 }
+
+func TestHintedCandidateReadsOnlyWhenTold(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Term, cfg.Renew, cfg.Poll, cfg.Hinted = 2*time.Second, 700*time.Millisecond, time.Hour, true
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	c := NewCore(cfg, "b", rand.New(rand.NewPCG(1, 2)), now)
+	version := 0
+	reads := 0
+	// holder renews each half second; the candidate's reads see the newest record.
+	pass := func(d time.Duration, renewing bool) {
+		for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			if renewing && now.UnixMilli()%500 == 0 {
+				version++
+			}
+			for _, e := range c.Tick(now) {
+				switch e.Call {
+				case ReadCall:
+					reads++
+					c.Seen(now, Seen{Found: true, Version: fmt.Sprint(version), Record: Record{Holder: "a", Fence: 1, Term: object.Duration(cfg.Term)}}, true)
+				default:
+					c.Answer(now, e, Written, "bid")
+				}
+			}
+		}
+	}
+	pass(10*time.Second, true)
+	before := reads
+	pass(time.Minute, true)
+	if reads != before {
+		t.Fatalf("%d reads of a lease whose holder is heard, want none", reads-before)
+	}
+	c.Hint(now)
+	pass(5*time.Second, false)
+	if c.State() != Held {
+		t.Fatalf("state %s five seconds after the holder fell silent, want Held", c.State())
+	}
+}
--- a/internal/platform/feed/source.go
+++ b/internal/platform/feed/source.go
@@ -34,8 +34,8 @@
 
 	mu     sync.Mutex
 	failed map[netip.AddrPort]time.Time
-	// doubted is when the neighbours were found behind.
-	doubted time.Time
+	// doubted tells that the neighbours were found behind.
+	doubted bool
 	direct  bool
 }
 
@@ -59,19 +59,34 @@
 	return s.direct
 }
 
-// Doubt asks the store itself for a while: there is word of news that the neighbours have not told.
+// Doubt asks the store itself for the next list: there is word of news that the neighbours have not told.
 func (s *Source) Doubt() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.doubted = time.Now()
+	s.doubted = true
 }
 
 // List implements [mirror.Source].
 func (s *Source) List(ctx context.Context, kind string) ([]store.Object, string, error) {
-	if p, err := s.ask(ctx, listTimeout, kind, nil); err == nil {
-		return p.Objects, p.Version, nil
+	if !s.isDoubted() {
+		if p, err := s.ask(ctx, listTimeout, kind, nil); err == nil {
+			return p.Objects, p.Version, nil
+		}
+	}
+	s.note(true)
+	objects, version, err := s.store.List(ctx, kind)
+	if err == nil {
+		s.mu.Lock()
+		s.doubted = false
+		s.mu.Unlock()
 	}
-	return s.store.List(ctx, kind)
+	return objects, version, err
+}
+
+func (s *Source) isDoubted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.doubted
 }
 
 // Changes implements [mirror.Source].
@@ -115,7 +130,7 @@
 func (s *Source) avoided(n netip.AddrPort) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.failed[n]) < avoidFor || time.Since(s.doubted) < avoidFor
+	return time.Since(s.failed[n]) < avoidFor
 }
 
 func (s *Source) avoid(n netip.AddrPort) {
