cli, station: a signal to reload does not end a host that is stopping

Change: settings are watched until the end, new requests are refused 2.8 s after the request to stop, the log is flushed.

--- a/internal/command/cli/edge.go
+++ b/internal/command/cli/edge.go
@@ -48,14 +48,17 @@
 		return err
 	}
 	out := diode.NewWriter(os.Stdout, logLines, 0, nil)
+	// Writes what still waits.
+	defer func() { _ = out.Close() }()
 	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	s := station.New(c.config(set), c.platform(set), log)
-	ctx, stop := context.WithCancel(g.ctx)
 	watched := make(chan error, 1)
-	go c.watch(ctx, set, s, log, watched)
-	err = s.Run(ctx)
-	stop()
+	// Settings are read again until the end: a signal for it must not end a process that is stopping.
+	reload, end := context.WithCancel(context.WithoutCancel(g.ctx))
+	go c.watch(reload, set, s, log, watched)
+	err = s.Run(g.ctx)
+	end()
 	return errors.CombineErrors(err, <-watched)
 }
 
--- a/internal/entry/station/drain.go
+++ b/internal/entry/station/drain.go
@@ -9,8 +9,8 @@
 	// rotationTime is how long the balancer may take to send no new connections: two checks, a second apart.
 	rotationTime = 2500 * time.Millisecond
 	// lingerTime is how long callers on kept connections may still send requests that are served: each
-	// answer asks them to leave.
-	lingerTime = 3500 * time.Millisecond
+	// answer asks them to leave. Later ones might not end before the process is killed.
+	lingerTime = 2800 * time.Millisecond
 	// killMargin is kept before the process is killed.
 	killMargin = 700 * time.Millisecond
 	// drainPoll is how often open requests are counted.
