--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -69,6 +69,7 @@
 	Suspects   SuspectsCommand   `cmd:"" help:"List and lift the marks of requests that crash backend servers."`
 	Load       LoadCommand       `cmd:"" help:"Offer open-loop traffic from a profile and report the measures."`
 	Experiment ExperimentCommand `cmd:"" help:"Play load patterns with policies in virtual time and compare what callers get."`
+	Soak       SoakCommand       `cmd:"" help:"Run hosts as processes under random faults and check what must hold."`
 	Demo       DemoCommand       `cmd:"" help:"Run a whole deployment with stand-ins in one process."`
 	Settings   SettingsCommand   `cmd:"" hidden:"" help:"Write the page of all settings."`
 	Standin    StandinCommand    `cmd:"" help:"Run one stand-in of an outside system, for trials and tests."`
--- /dev/null
+++ b/internal/command/cli/soak.go
@@ -0,0 +1,53 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"shallotramp/platform/soak"
+)
+
+// SoakCommand runs hosts as processes under random faults and checks what must hold.
+type SoakCommand struct {
+	Seed  uint64        `help:"First seed; the faults of a seed are always the same." default:"1" env:"SHALLOTRAMP_SEED"`
+	Seeds int           `help:"How many seeds to run, one after the other." default:"1" env:"SHALLOTRAMP_SEEDS"`
+	For   time.Duration `help:"How long faults come, for each seed." default:"20s" env:"SHALLOTRAMP_FOR"`
+	Hosts int           `help:"How many hosts." default:"4" env:"SHALLOTRAMP_HOSTS"`
+	Net   int           `help:"Second number of the loopback addresses that are used; another one for each run at a time." default:"77" env:"SHALLOTRAMP_NET"`
+}
+
+// Run implements the command.
+func (c *SoakCommand) Run(g *Globals) error {
+	binary, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	broken := 0
+	for i := range c.Seeds {
+		rep, err := soak.Play(g.ctx, soak.Config{
+			Binary: binary, Seed: c.Seed + uint64(i), Length: c.For, Hosts: c.Hosts, Net: c.Net, Log: g.logger(),
+		})
+		if err != nil {
+			return err
+		}
+		if len(rep.Broken) > 0 {
+			broken++
+		}
+		if g.isJSON() {
+			err = g.json(rep)
+		} else {
+			_, err = fmt.Fprintf(g.stdout, "seed %d: %d requests %v, %d faults, %d usage windows, broken: %v\n",
+				rep.Seed, rep.Asked, rep.Answers, len(rep.Faults), rep.Windows, rep.Broken)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if broken > 0 {
+		return errors.Newf("%d of %d seeds broke a promise; run one again with --seed and read its log lines", broken, c.Seeds)
+	}
+	return nil
+}
