--- a/internal/capacity/controller/controller.go
+++ b/internal/capacity/controller/controller.go
@@ -12,7 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"shallotramp/internal/capacity/order"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 const (
--- a/internal/capacity/controller/step.go
+++ b/internal/capacity/controller/step.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"shallotramp/internal/capacity/order"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // next starts the next step of a receiver's work. Its result comes through the inbox.
--- a/internal/capacity/stock/stock.go
+++ b/internal/capacity/stock/stock.go
@@ -17,8 +17,8 @@
 	"shallotramp/internal/capacity/sizing"
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
-	"shallotramp/internal/platform/ordering"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/ordering"
+	"shallotramp/internal/provider/store"
 )
 
 // author stands in the history for releases that the system publishes.
--- a/internal/catalog/release/follow.go
+++ b/internal/catalog/release/follow.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 const (
--- a/internal/catalog/release/publish.go
+++ b/internal/catalog/release/publish.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotramp/internal/catalog/object"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // RefusedError is a set that did not pass its check. Findings holds all of them.
--- a/internal/catalog/release/release.go
+++ b/internal/catalog/release/release.go
@@ -20,7 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotramp/internal/catalog/object"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // Names of the platform's objects.
--- a/internal/command/cli/publish.go
+++ b/internal/command/cli/publish.go
@@ -13,7 +13,7 @@
 
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // platformTimeout bounds the calls of one operator's command.
--- a/internal/command/cli/standin.go
+++ b/internal/command/cli/standin.go
@@ -7,7 +7,7 @@
 	"time"
 
 	enginefake "shallotramp/internal/engine/fake"
-	platformfake "shallotramp/internal/platform/fake"
+	platformfake "shallotramp/internal/provider/fake"
 )
 
 // StandinCommand runs one stand-in.
--- a/internal/command/cli/status.go
+++ b/internal/command/cli/status.go
@@ -13,7 +13,7 @@
 	"shallotramp/internal/entry/console"
 	"shallotramp/internal/fleet/acceptance"
 	"shallotramp/internal/fleet/relay"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // waitInterval is how often a waiting command reads the state of zones.
--- a/internal/command/cli/usage.go
+++ b/internal/command/cli/usage.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/report"
+	"shallotramp/internal/provider/report"
 	"shallotramp/internal/usage/reporter"
 	"shallotramp/internal/usage/window"
 )
--- a/internal/entry/host/fleet.go
+++ b/internal/entry/host/fleet.go
@@ -15,7 +15,7 @@
 	"shallotramp/internal/fleet/link"
 	"shallotramp/internal/fleet/member"
 	"shallotramp/internal/fleet/relay"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // Fleet holds the settings of the links with other hosts. Without certificates there are no links, and the host
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -26,7 +26,7 @@
 	"shallotramp/internal/fleet/relay"
 	"shallotramp/internal/ops/event"
 	"shallotramp/internal/ops/explain"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/traffic/claim"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/scheduler"
--- a/internal/entry/station/duty.go
+++ b/internal/entry/station/duty.go
@@ -6,7 +6,7 @@
 
 	"shallotramp/internal/capacity/supply"
 	"shallotramp/internal/fleet/lease"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/usage/freeze"
 	"shallotramp/internal/usage/tally"
 )
--- a/internal/entry/station/follow.go
+++ b/internal/entry/station/follow.go
@@ -6,8 +6,8 @@
 
 	"shallotramp/internal/capacity/supply"
 	"shallotramp/internal/fleet/backend"
-	"shallotramp/internal/platform/mirror"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/mirror"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/traffic/dispatch"
 )
 
--- a/internal/fleet/lease/manager.go
+++ b/internal/fleet/lease/manager.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 
 	"shallotramp/internal/ops/chart"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 const (
--- a/internal/fleet/lease/platform.go
+++ b/internal/fleet/lease/platform.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // call carries one effect to the platform and its result back.
--- a/internal/fleet/relay/carry.go
+++ b/internal/fleet/relay/carry.go
@@ -14,7 +14,7 @@
 	"shallotramp/internal/fleet/acceptance"
 	"shallotramp/internal/fleet/link"
 	"shallotramp/internal/fleet/wire"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // maxChunkBytes bounds one chunk after decompression.
--- a/internal/fleet/relay/node.go
+++ b/internal/fleet/relay/node.go
@@ -19,7 +19,7 @@
 	"shallotramp/internal/fleet/member"
 	"shallotramp/internal/fleet/wire"
 	"shallotramp/internal/ops/event"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/traffic/dispatch"
 )
 
--- a/internal/fleet/relay/register.go
+++ b/internal/fleet/relay/register.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"shallotramp/internal/fleet/member"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // HostKind is the kind of the objects by which hosts make themselves known.
--- a/internal/platform/fake/http.go
+++ b/internal/provider/fake/http.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // bookmarkInterval is how often a watch without events sends a bookmark.
--- a/internal/platform/fake/line.go
+++ b/internal/provider/fake/line.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // linePause is the longest time that a [Line] holds a call, as when its process is paused.
--- a/internal/platform/fake/ordering.go
+++ b/internal/provider/fake/ordering.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotramp/internal/capacity/order"
-	"shallotramp/internal/platform/ordering"
+	"shallotramp/internal/provider/ordering"
 )
 
 // OrderFaults are the failures that a [Receiver] shows. The zero value shows none.
--- a/internal/platform/fake/report.go
+++ b/internal/provider/fake/report.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/report"
+	"shallotramp/internal/provider/report"
 	"shallotramp/internal/usage/window"
 )
 
--- a/internal/platform/fake/store.go
+++ b/internal/provider/fake/store.go
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // historyLength is how many events the stand-in keeps for watches.
--- a/internal/platform/fake/yard.go
+++ b/internal/provider/fake/yard.go
@@ -9,7 +9,7 @@
 	"sync"
 
 	"shallotramp/internal/capacity/order"
-	"shallotramp/internal/platform/ordering"
+	"shallotramp/internal/provider/ordering"
 )
 
 // Yard is a stand-in of the platform's ordering interface that runs what is ordered.
--- a/internal/platform/feed/feed.go
+++ b/internal/provider/feed/feed.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
-	"shallotramp/internal/platform/mirror"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/mirror"
+	"shallotramp/internal/provider/store"
 )
 
 const (
--- a/internal/platform/feed/source.go
+++ b/internal/provider/feed/source.go
@@ -12,8 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/mirror"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/mirror"
+	"shallotramp/internal/provider/store"
 )
 
 const (
--- a/internal/platform/mirror/mirror.go
+++ b/internal/provider/mirror/mirror.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 const (
--- a/internal/traffic/claim/book.go
+++ b/internal/traffic/claim/book.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/uuid"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/traffic/request"
 )
 
--- a/internal/traffic/claim/platform.go
+++ b/internal/traffic/claim/platform.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 )
 
 // readShard returns a shard as the platform has it, and whether the platform answered.
--- a/internal/trial/demo/demo.go
+++ b/internal/trial/demo/demo.go
@@ -23,9 +23,9 @@
 	enginefake "shallotramp/internal/engine/fake"
 	"shallotramp/internal/entry/host"
 	"shallotramp/internal/fleet/link/testcert"
-	platformfake "shallotramp/internal/platform/fake"
-	"shallotramp/internal/platform/ordering"
-	"shallotramp/internal/platform/store"
+	platformfake "shallotramp/internal/provider/fake"
+	"shallotramp/internal/provider/ordering"
+	"shallotramp/internal/provider/store"
 )
 
 //go:embed objects.yaml
--- a/internal/usage/freeze/freeze.go
+++ b/internal/usage/freeze/freeze.go
@@ -9,7 +9,7 @@
 	"context"
 	"encoding/json"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/usage/tally"
 )
 
--- a/internal/usage/ledger/ledger.go
+++ b/internal/usage/ledger/ledger.go
@@ -13,7 +13,7 @@
 
 	"github.com/rs/zerolog"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/usage/meter"
 	"shallotramp/internal/usage/tag"
 	"shallotramp/internal/usage/window"
--- a/internal/usage/ledger/spec.go
+++ b/internal/usage/ledger/spec.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/usage/meter"
 	"shallotramp/internal/usage/window"
 )
--- a/internal/usage/reporter/freeze.go
+++ b/internal/usage/reporter/freeze.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/usage/ledger"
 	"shallotramp/internal/usage/window"
 )
--- a/internal/usage/reporter/reporter.go
+++ b/internal/usage/reporter/reporter.go
@@ -13,8 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"shallotramp/internal/platform/report"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/report"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/usage/ledger"
 	"shallotramp/internal/usage/window"
 )
--- a/internal/usage/reporter/send.go
+++ b/internal/usage/reporter/send.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"shallotramp/internal/platform/report"
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/report"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/usage/ledger"
 	"shallotramp/internal/usage/window"
 )
--- a/internal/usage/reporter/settle.go
+++ b/internal/usage/reporter/settle.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"shallotramp/internal/platform/store"
+	"shallotramp/internal/provider/store"
 	"shallotramp/internal/usage/ledger"
 	"shallotramp/internal/usage/meter"
 	"shallotramp/internal/usage/tag"
