--- a/internal/provider/mirror/mirror_test.go
+++ b/internal/provider/mirror/mirror_test.go
@@ -39,7 +39,7 @@
 	return make([]store.Object, a.objects), a.version, a.err
 }
 
-func (s *script) Changes(ctx context.Context, _, version string, wait time.Duration) ([]store.Event, string, error) {
+func (s *script) Changes(ctx context.Context, _, version string, _ time.Duration) ([]store.Event, string, error) {
 	s.calls = append(s.calls, "from "+version)
 	a := next(&s.changes)
 	select {
--- a/internal/traffic/route/route_test.go
+++ b/internal/traffic/route/route_test.go
@@ -57,8 +57,8 @@
 	n := map[string]int{}
 	for key := range uint64(1000) {
 		n[r.Pick(key)]++
-		if r.Pick(key) != r.Pick(key) {
-			t.Fatal("equal keys get different services")
+		if first, again := r.Pick(key), r.Pick(key); first != again {
+			t.Fatalf("key %d gets %s, then %s", key, first, again)
 		}
 	}
 	if n["old"] != 900 || n["new"] != 100 {
--- a/internal/trial/model/world.go
+++ b/internal/trial/model/world.go
@@ -160,7 +160,7 @@
 		h := &host{name: fmt.Sprintf("h-%02d", i), zone: zone, policy: m(seed+uint64(i), zone, t)}
 		h.policy.Servers(start, w.list())
 		w.hosts = append(w.hosts, h)
-		w.every(tick, func(now time.Time) { w.carry(now, h, h.policy.Tick(now)) })
+		w.every(tick, func(now time.Time) { w.carry(now, h.policy.Tick(now)) })
 		turn := 0
 		w.every(wordNear, func(now time.Time) {
 			turn++
@@ -195,7 +195,7 @@
 	state.Host, state.Zone = h.name, h.zone
 	for _, o := range w.hosts {
 		if o != h && (far || o.zone == h.zone) {
-			w.carry(now, o, o.policy.Peer(now, state, len(w.hosts)))
+			w.carry(now, o.policy.Peer(now, state, len(w.hosts)))
 		}
 	}
 }
@@ -206,7 +206,7 @@
 	lost := w.engines[n:]
 	w.engines = w.engines[:n]
 	for _, h := range w.hosts {
-		w.carry(now, h, h.policy.Servers(now, w.list()))
+		w.carry(now, h.policy.Servers(now, w.list()))
 	}
 	for _, e := range lost {
 		w.result.Read += e.read
@@ -252,7 +252,7 @@
 	w.calls[r.ID] = cl
 	w.result.Classes[c.Name].Asked++
 	w.at(r.Deadline, func(now time.Time) { w.leave(now, cl) })
-	w.carry(now, h, h.policy.Arrive(now, r))
+	w.carry(now, h.policy.Arrive(now, r))
 }
 
 // parts draws a prompt: shared parts and the request's own, which has a long tail.
@@ -279,7 +279,7 @@
 }
 
 // carry does what a policy wants.
-func (w *world) carry(now time.Time, h *host, effects []dispatch.Effect) {
+func (w *world) carry(now time.Time, effects []dispatch.Effect) {
 	for _, e := range effects {
 		c := w.calls[e.ID]
 		if c == nil || c.over {
@@ -384,7 +384,7 @@
 	if o == request.Broken && res.Delivered > 0 && c.class.Resumable {
 		c.pause = max(c.pause, now.Sub(c.last))
 	}
-	w.carry(now, c.host, c.host.policy.Finish(now, res))
+	w.carry(now, c.host.policy.Finish(now, res))
 }
 
 // leave lets a caller go whose patience is over.
@@ -395,9 +395,9 @@
 	c.over = true
 	w.result.Classes[c.class.Name].Left++
 	if c.engine == nil {
-		w.carry(now, c.host, c.host.policy.Cancel(now, c.req.ID))
+		w.carry(now, c.host.policy.Cancel(now, c.req.ID))
 		return
 	}
 	c.engine.drop(c)
-	w.carry(now, c.host, c.host.policy.Finish(now, request.Result{ID: c.req.ID, Outcome: request.Cancelled}))
+	w.carry(now, c.host.policy.Finish(now, request.Result{ID: c.req.ID, Outcome: request.Cancelled}))
 }
--- a/internal/usage/freeze/freeze.go
+++ b/internal/usage/freeze/freeze.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// Kind and Name are those of the object.
+	// Kind is the kind of the object.
 	Kind = "Usage"
+	// Name is the name of the only object.
 	Name = "ledger"
 	// keptFrozen is how many decided windows are kept: those that may still be reported again.
 	keptFrozen = 12
