--- a/internal/command/cli/cli.go
+++ b/internal/command/cli/cli.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -32,7 +33,9 @@
 	Output   string `help:"Form of the output." enum:"table,json" default:"table" env:"SHALLOTRAMP_OUTPUT"`
 	LogLevel string `help:"Least severe log event that is written." enum:"debug,info,warn,error" default:"info" env:"SHALLOTRAMP_LOG_LEVEL"`
 
-	ctx    context.Context
+	ctx context.Context
+	// reload receives SIGHUP, for the commands that read their settings again.
+	reload chan os.Signal
 	stdout io.Writer
 	stderr io.Writer
 }
@@ -86,6 +89,9 @@
 func Main(args []string, stdout, stderr io.Writer) ExitCode {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// Listened for from the first moment: unheard, the signal would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	var c Commands
 	exited := -1
 	p, err := kong.New(&c,
@@ -105,7 +111,10 @@
 		fmt.Fprintf(stderr, "shallotramp: %v; see 'shallotramp --help'\n", err)
 		return Usage
 	}
-	c.ctx, c.stdout, c.stderr = ctx, stdout, stderr
+	if !strings.HasPrefix(k.Command(), "edge") {
+		signal.Reset(syscall.SIGHUP)
+	}
+	c.ctx, c.reload, c.stdout, c.stderr = ctx, reload, stdout, stderr
 	if err := k.Run(&c.Globals, p); err != nil {
 		fmt.Fprintln(stderr, "shallotramp:", err)
 		return Failed
--- a/internal/command/cli/edge.go
+++ b/internal/command/cli/edge.go
@@ -4,10 +4,8 @@
 	"context"
 	"net/netip"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,7 +54,7 @@
 	watched := make(chan error, 1)
 	// Settings are read again until the end: a signal for it must not end a process that is stopping.
 	reload, end := context.WithCancel(context.WithoutCancel(g.ctx))
-	go c.watch(reload, set, s, log, watched)
+	go c.watch(reload, g.reload, set, s, log, watched)
 	err = s.Run(g.ctx)
 	end()
 	return errors.CombineErrors(err, <-watched)
@@ -88,10 +86,7 @@
 }
 
 // watch reads the settings again at SIGHUP and when the file has changed without it.
-func (c *EdgeCommand) watch(ctx context.Context, set platform.Settings, s *station.Station, log zerolog.Logger, done chan<- error) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (c *EdgeCommand) watch(ctx context.Context, hup <-chan os.Signal, set platform.Settings, s *station.Station, log zerolog.Logger, done chan<- error) {
 	t := time.NewTicker(settingsInterval)
 	defer t.Stop()
 	for {
--- a/internal/command/cli/soak.go
+++ b/internal/command/cli/soak.go
@@ -39,8 +39,8 @@
 		if g.isJSON() {
 			err = g.json(rep)
 		} else {
-			_, err = fmt.Fprintf(g.stdout, "seed %d: %d requests %v, %d faults, %d usage windows, broken: %v\n",
-				rep.Seed, rep.Asked, rep.Answers, len(rep.Faults), rep.Windows, rep.Broken)
+			_, err = fmt.Fprintf(g.stdout, "seed %d: %d requests %v, %d faults, %d usage windows, %d exits, broken: %v %s\n",
+				rep.Seed, rep.Asked, rep.Answers, len(rep.Faults), rep.Windows, rep.Exits, rep.Broken, rep.Logs)
 		}
 		if err != nil {
 			return err
