station, placement: a successor begins sooner; a server's own word of its load counts

Change: such a host is not waited for, the holder is heard twice a second, 1.2 s of listening; a plain server that has just said that it is full gets nothing.

--- a/internal/entry/station/duty.go
+++ b/internal/entry/station/duty.go
@@ -22,9 +22,9 @@
 	// hosts stop at once.
 	saveInterval = time.Second
 	// holderSilence is how long no host says that it holds the duties before this one looks at the lease.
-	holderSilence = 2200 * time.Millisecond
+	holderSilence = 1500 * time.Millisecond
 	// warmUp is how long a new holder listens before it reports: each host tells its counts within a second.
-	warmUp = 2500 * time.Millisecond
+	warmUp = 1200 * time.Millisecond
 )
 
 // Duties are the calls that one host at a time makes, under a fencing number.
@@ -98,15 +98,18 @@
 
 // seekHolder looks at the lease while no other host says that it holds it.
 func (s *Station) seekHolder(now time.Time) {
+	lost := false
 	for _, m := range s.fleet.Members(now) {
 		if m.Holder && now.Sub(m.Heard) < holderSilence {
-			s.sought = now
+			s.sought, s.holder = now, m.Host
 			return
 		}
+		lost = lost || m.Host == s.holder
 	}
-	// The hosts that follow the store are candidates enough.
-	if now.Sub(s.sought) > holderSilence && len(s.neighbours()) == 0 {
-		s.sought = now
+	// The hosts that follow the store are candidates enough. One that was the holder and says that it is not
+	// any more need not be waited for.
+	if (lost || now.Sub(s.sought) > holderSilence) && len(s.neighbours()) == 0 {
+		s.sought, s.holder = now, ""
 		s.leases.Hint(dutyRole)
 	}
 }
--- a/internal/entry/station/station.go
+++ b/internal/entry/station/station.go
@@ -101,6 +101,8 @@
 	stopping atomic.Bool
 	// sought is when the lease was looked at or its holder heard; the step owns it.
 	sought time.Time
+	// holder is the host that was heard last as the holder of the duties.
+	holder string
 
 	// mu guards what the mirrors and the step share.
 	mu        sync.Mutex
@@ -127,7 +129,6 @@
 	s.edge = edge.New(cfg.Zone, p.Codec, s.loop, edge.WithLog(log), edge.WithUsage(counter{s}))
 	s.fleet = gossip.New(gossip.Self{Host: s.id, Zone: cfg.Zone, Addr: cfg.IP, Port: cfg.FleetPort, Seeds: cfg.Seeds}, s.fill, s.hear)
 	s.feed = feed.New(cfg.Apply)
-	// A host that was told of news must not hear from a neighbour that they are none.
 	tables, list := feed.NewSource(p.Store, s.neighbours), feed.NewSource(p.Store, s.neighbours)
 	s.tables = mirror.New(tables, p.Kinds.Table, cfg.Apply, relistInterval, func(u mirror.Update) {
 		s.feed.Apply(p.Kinds.Table, u, tables.Direct(), time.Now())
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -68,7 +68,7 @@
 	mu      sync.Mutex
 	members map[netip.Addr]*peer
 	turn    int
-	// holder tells that this host holds the duties: all others hear it each second.
+	// holder tells that this host holds the duties: all others hear it twice a second.
 	holder bool
 }
 
@@ -273,10 +273,8 @@
 		return seedInterval
 	case p.Zone == x.self.Zone:
 		return nearInterval
-	case p.Holder:
+	case p.Holder, x.holder:
 		return farInterval / 2
-	case x.holder:
-		return farInterval
 	}
 	return x.farInterval()
 }
--- a/internal/traffic/placement/estimate.go
+++ b/internal/traffic/placement/estimate.go
@@ -38,6 +38,8 @@
 	// harmPerRunning weighs the delay that a prompt's reading puts on each request that runs beside it: most
 	// bear it within their allowed pause.
 	harmPerRunning = 0.02
+	// reportLifetime is how long a server's own word of its load counts.
+	reportLifetime = 200 * time.Millisecond
 	// crowdedShare is how many requests may wait at an engine for each of its places before those that can
 	// no longer be on time are refused.
 	crowdedShare = 1
@@ -259,12 +261,12 @@
 }
 
 // plain estimates a plain service by its places and the time of an answer.
-func (p *Policy) plain(_ time.Time, e *entry, s *server) choice {
-	w := s.load()
+func (p *Policy) plain(now time.Time, e *entry, s *server) choice {
+	taken := s.taken(now)
 	slots := max(s.info.Slots, 1)
 	c := choice{first: e.svc.learned.whole, why: "least outstanding work"}
-	c.cost = c.first * time.Duration(w.all()) / time.Duration(slots)
-	if over := w.all() + 1 - slots; over > 0 {
+	c.cost = c.first * time.Duration(taken) / time.Duration(slots)
+	if over := taken + 1 - slots; over > 0 {
 		c.first += e.svc.learned.whole * time.Duration(over) / time.Duration(slots)
 		c.full = over > queuedPerSlot*slots
 	}
--- a/internal/traffic/placement/placement_test.go
+++ b/internal/traffic/placement/placement_test.go
@@ -388,3 +388,17 @@
 		})
 	}
 }
+
+func TestReportedLoad(t *testing.T) {
+	convey.Convey("A server that has just said that it is full gets nothing while another has a place", t, func() {
+		d := newDesk(server("app", "near", "a", 2), server("app", "far", "b", 2))
+		d.Report(d.now, dispatch.Load{Server: "near", Running: 2, Waiting: 3})
+		_, e := d.ask(nil)
+		convey.So(e[0].Server, convey.ShouldEqual, "far")
+		convey.Convey("and is asked again soon", func() {
+			d.pass(time.Second)
+			_, e := d.ask(nil)
+			convey.So(e[0].Server, convey.ShouldEqual, "near")
+		})
+	})
+}
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -152,6 +152,16 @@
 	return w
 }
 
+// taken returns the requests on the server: those that hosts know of, or more if it has just said so itself.
+func (s *server) taken(now time.Time) int {
+	w := s.load()
+	n := w.all()
+	if now.Sub(s.reportedAt) < reportLifetime {
+		n = max(n, s.reported.Running+s.reported.Waiting)
+	}
+	return n
+}
+
 // count adds what another host told to the servers, n times.
 func (p *Policy) count(peer Peer, n int) {
 	for id, w := range peer.Work {
