--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -137,9 +137,8 @@
 	failure *reply
 	sent    int
 	server  string
-	// urgency and why are those of the latest attempt.
+	// urgency is that of the latest attempt.
 	urgency int
-	why     string
 	// ended tells that the caller's connection must end without an answer.
 	ended bool
 }
@@ -214,7 +213,7 @@
 				return
 			}
 			t.sent++
-			t.server, t.urgency, t.why = eff.Server, eff.Urgency, eff.Why
+			t.server, t.urgency = eff.Server, eff.Urgency
 			res, done := t.attempt(eff)
 			t.e.loop.Finish(res, done)
 			if t.ended {
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -48,8 +48,6 @@
 	Goal time.Duration
 	// GapTarget is the longest pause between two events at full value.
 	GapTarget time.Duration
-	// Repeat requests came back after an earlier one was refused or failed; false if unknown.
-	Repeat bool
 }
 
 // Part is a piece of a prompt that other requests may share.
