placement: one home in the whole service for a long shared prefix

Cause: the preferred engine of a shared prefix was chosen within a zone, so that each prefix had a copy in each zone.

Change: homes are chosen by rendezvous hashing over the engines of all zones; an engine that leaves, or was the home before one that has just started, is the source of a fetch. Latency costs less where the goal is seconds away, and more from 0.4 of the goal on, so that such requests wait for their home and tight ones stay in their zone, about which news is recent. 65 instead of 50 percent of a zone's engines are kept for long prompts. The engines of the simulation now evict cached parts.

--- a/internal/traffic/placement/estimate.go
+++ b/internal/traffic/placement/estimate.go
@@ -23,8 +23,6 @@
 	allServersCost = 250 * time.Millisecond
 	// minPeerLifetime is the minimum time for which another host's state is used.
 	minPeerLifetime = 1500 * time.Millisecond
-	// notPreferredCost is the cost added to servers other than the preferred one of a shared prefix.
-	notPreferredCost = 30 * time.Millisecond
 	// minSharedPartTokens is the size from which the location of a shared part is sent to other hosts.
 	// maxPartLocations bounds the locations in one message.
 	minSharedPartTokens = 256
@@ -62,10 +60,18 @@
 	interferenceFrom, interferenceFull = 0.5, 0.8
 	// maxHostBias bounds the cost by which each host prefers some servers to others.
 	maxHostBias = 50 * time.Millisecond
-	// otherZoneCost is the cost of a server in another availability zone for a short prompt: the latency there
-	// and back and the price of the traffic. otherZoneLongCost is that for a long prompt.
+	// otherZoneCost is the cost of a server in another availability zone for a short prompt: the latency there and
+	// back and the price of the traffic. otherZoneLongCost is that for a long prompt with a usual goal: news of the
+	// prefill that other hosts have sent there is up to a second old.
 	otherZoneCost     = 30 * time.Millisecond
-	otherZoneLongCost = 120 * time.Millisecond
+	otherZoneLongCost = 150 * time.Millisecond
+	// lateCost is the cost of an answer that is expected too late. From lateRiskFrom of the time left to the goal it
+	// applies in part, and from onTimeMargin in full, because latencies vary.
+	lateCost     = 400 * time.Millisecond
+	lateRiskFrom = 0.4
+	// usualGoal is the goal above which an expected latency costs less: callers that wait for an answer for seconds
+	// lose nothing by a delay that makes others late.
+	usualGoal = 400 * time.Millisecond
 	// batchDelayPerRequest is the delay that each request in the batch adds to the tokens of the others.
 	batchDelayPerRequest = 400 * time.Microsecond
 	// maxKVShare is the fraction of an engine's KV cache above which a new request would preempt another.
@@ -81,10 +87,10 @@
 	uncached int
 	// requestsAhead counts the requests that the server runs before this one.
 	requestsAhead int
-	// fetchFrom is a server from which cached prompt tokens are fetched; nil for none. recomputedTokens
-	// counts tokens that are prefilled although another server has them cached.
-	fetchFrom        *server
-	recomputedTokens int
+	// fetchFrom is a server from which cached prompt tokens are fetched; nil for none. fetchedTokens counts them.
+	// recomputedTokens counts tokens that are prefilled although another server has them cached.
+	fetchFrom                       *server
+	fetchedTokens, recomputedTokens int
 	// full plain servers have no slot free and no room for another waiting request.
 	full bool
 	// overloaded engines have more requests waiting than maxQueuedPerEngineSlot allows.
@@ -94,14 +100,16 @@
 
 // choose returns the server with the lowest cost: the expected latency, the delay caused to requests that run
 // there, and a surcharge for unhealthy or distant servers. It considers the servers of the own availability
-// zone and those that cache the prompt's shared prefix, and all other servers if the best of these is too busy.
+// zone, the homes of the prompt's shared prefix and the servers known to have it cached, and all other servers if the
+// best of these is too busy.
 func (p *Policy) choose(now time.Time, e *entry) choice {
 	near := e.svc.serversByZone[p.zone]
-	preferred := e.preferredServer(near)
-	best := p.best(now, e, near, preferred, choice{})
-	best = p.best(now, e, e.svc.parts.lookup(e.req.Parts), preferred, best)
+	h := e.homes(now, p.zone)
+	best := p.best(now, e, near, h, choice{})
+	best = p.best(now, e, h.servers, h, best)
+	best = p.best(now, e, e.svc.parts.lookup(e.req.Parts), h, best)
 	if best.server == nil || best.full || best.cost > allServersCost {
-		best = p.best(now, e, e.svc.servers, preferred, best)
+		best = p.best(now, e, e.svc.servers, h, best)
 	}
 	if best.server != nil {
 		return best
@@ -109,17 +117,17 @@
 	// Without another server, use those that are avoided or were tried.
 	for _, s := range e.svc.servers {
 		if !s.addressTaken {
-			best = better(best, p.estimate(now, e, s, preferred))
+			best = better(best, p.estimate(now, e, s, h))
 		}
 	}
 	return best
 }
 
 // best returns the best of a choice and the usable servers of a list.
-func (p *Policy) best(now time.Time, e *entry, servers []*server, preferred *server, best choice) choice {
+func (p *Policy) best(now time.Time, e *entry, servers []*server, h homes, best choice) choice {
 	for _, s := range servers {
 		if !s.unavailable && !s.addressTaken && !s.avoided(now) && !e.hasTried(s) {
-			best = better(best, p.estimate(now, e, s, preferred))
+			best = better(best, p.estimate(now, e, s, h))
 		}
 	}
 	return best
@@ -141,18 +149,19 @@
 	return false
 }
 
-func (p *Policy) estimate(now time.Time, e *entry, s, preferred *server) choice {
+func (p *Policy) estimate(now time.Time, e *entry, s *server, h homes) choice {
 	var c choice
 	if e.svc.engine != nil {
-		c = p.estimateEngine(now, e, s, preferred)
+		c = p.estimateEngine(now, e, s, h)
 	} else {
 		c = p.estimatePlain(now, e, s)
 	}
 	c.server = s
 	if s.info.Zone != p.zone {
-		c.cost += otherZoneCost
 		if e.longPrompt {
-			c.cost += otherZoneLongCost - otherZoneCost
+			c.cost += scaleToGoal(otherZoneLongCost, e.req.Goal)
+		} else {
+			c.cost += otherZoneCost
 		}
 	}
 	c.cost += s.healthCost(now)
@@ -164,11 +173,11 @@
 
 // estimateEngine estimates a model engine: the prefill of the prompts ahead and of this one, and the batch's step
 // time.
-func (p *Policy) estimateEngine(now time.Time, e *entry, s, preferred *server) choice {
+func (p *Policy) estimateEngine(now time.Time, e *entry, s *server, h homes) choice {
 	w := s.totalWork()
 	l := &e.svc.latencyModel
 	c := choice{uncached: e.uncachedTokens(now, s), why: "least expected delay"}
-	p.planFetch(now, e, s, &c)
+	p.planFetch(now, e, s, h, &c)
 	requestsAhead, prefillAhead := w.ahead(p.urgency(e))
 	c.requestsAhead = requestsAhead
 	slots := max(s.info.Slots, 1)
@@ -180,8 +189,10 @@
 		c.latency += time.Duration(over) * l.answerTime / time.Duration(slots)
 	}
 	// Less urgent work waits for this request, but delaying it has a cost.
-	c.cost = c.latency + l.prefillTime(w.totalPendingPrefill()-prefillAhead)/lowTierDivisor
+	c.cost = scaleToGoal(c.latency, e.req.Goal) + l.prefillTime(w.totalPendingPrefill()-prefillAhead)/lowTierDivisor
+	c.cost += time.Duration(e.lateRisk(now, c.latency) * float64(lateCost))
 	c.cost += time.Duration(c.recomputedTokens) * recomputeCostPerToken
+	c.cost += time.Duration(c.fetchedTokens) * fetchCostPerToken
 	if over := w.totalInFlight() + 1 - slots; over > 0 {
 		c.cost += time.Duration(over) * l.answerTime / time.Duration(slots)
 		c.overloaded = over > maxQueuedPerEngineSlot*slots
@@ -193,9 +204,7 @@
 	if e.longPrompt != s.forLongPrompts && len(e.svc.servers) > 1 {
 		c.cost += time.Duration(e.svc.interference(e) * float64(wrongPartitionCost))
 	}
-	if len(e.req.Parts) > 1 && e.longPrompt && s != preferred {
-		c.cost += notPreferredCost
-	}
+	c.cost += h.cost(s)
 	if m := e.svc.engine.CacheTokens; m > 0 && float64(w.KVTokens+e.req.PromptTokens) > maxKVShare*float64(m) {
 		c.cost += l.answerTime
 		c.latency += l.answerTime / 4
@@ -226,42 +235,46 @@
 
 // planFetch looks for a server that has cached more of the prompt than s. It plans a fetch from there, or counts
 // the tokens as recomputed if they are too few.
-func (p *Policy) planFetch(now time.Time, e *entry, s *server, c *choice) {
+func (p *Policy) planFetch(now time.Time, e *entry, s *server, h homes, c *choice) {
 	parts := e.req.Parts
 	if len(parts) == 0 || c.uncached <= parts[len(parts)-1].Tokens {
 		return
 	}
 	best := c.uncached
 	for _, o := range e.svc.parts.lookup(parts) {
-		if o == s || o.unavailable || o.addressTaken || o.avoided(now) || o.failureRateAt(now) > maxFetchFailureRate {
+		if o == s || o.unavailable || !o.canBeSource(now) {
 			continue
 		}
 		if n := o.cache.uncachedTokens(now, parts); n < best {
 			best, c.fetchFrom = n, o
 		}
 	}
-	if c.uncached-best < minFetchTokens {
+	if o := h.sourceFor(s); c.fetchFrom == nil && o != nil && o.canBeSource(now) {
+		best, c.fetchFrom = min(best, assumedUncached(parts)), o
+	}
+	switch {
+	case h.isHome(s):
+		// The home probably has the prefix cached, and fetches only what it has not.
+		c.uncached = min(c.uncached, assumedUncached(parts))
+	case c.uncached-best < minFetchTokens:
 		c.recomputedTokens, c.fetchFrom = c.uncached-best, nil
-		return
+	default:
+		c.uncached, c.fetchedTokens = best, c.uncached-best
 	}
-	c.uncached = best
 }
 
-// preferredServer returns the server of a zone that all hosts prefer for the request's shared prefix, chosen by
-// rendezvous hashing, so that hosts agree before they know which server has cached it.
-func (e *entry) preferredServer(servers []*server) *server {
-	if len(e.req.Parts) < 2 || !e.longPrompt {
-		return nil
-	}
-	key := sharedPrefixID(e.req.Parts)
-	var preferred *server
-	var least uint64
-	for _, s := range servers {
-		if rank := mix(s.rank, key); s.forLongPrompts && (preferred == nil || rank < least) {
-			preferred, least = s, rank
-		}
+// canBeSource reports whether cached tokens may be fetched from the server.
+func (s *server) canBeSource(now time.Time) bool {
+	return !s.addressTaken && !s.avoided(now) && s.failureRateAt(now) <= maxFetchFailureRate
+}
+
+// scaleToGoal returns the cost of an expected latency: the latency itself for goals up to usualGoal, and less for
+// longer ones.
+func scaleToGoal(latency, goal time.Duration) time.Duration {
+	if goal <= usualGoal {
+		return latency
 	}
-	return preferred
+	return time.Duration(float64(latency) * float64(usualGoal) / float64(goal))
 }
 
 // sharedPrefixID returns the ID of the last part that other requests may share.
@@ -307,7 +320,7 @@
 }
 
 // longPromptServersPercent is the percentage of a zone's engines that are preferred for long prompts.
-const longPromptServersPercent = 50
+const longPromptServersPercent = 65
 
 // latencyModel estimates latencies of a service from its past requests.
 type latencyModel struct {
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -110,10 +110,12 @@
 	engine        *route.Engine
 	servers       []*server
 	serversByZone map[string][]*server
-	parts         partIndex
-	waiting       []*entry
-	latencyModel  latencyModel
-	retries       retryBudget
+	// listed are the servers of the list, including those that accept no work.
+	listed       []*server
+	parts        partIndex
+	waiting      []*entry
+	latencyModel latencyModel
+	retries      retryBudget
 	// prefillLoad is the prefill time of the prompts that this host sends.
 	prefillLoad decayedRate
 	// minGapTarget is the smallest GapTarget of its requests, 0 if none has one.
@@ -145,20 +147,22 @@
 		s.unavailable = true
 	}
 	for _, s := range p.services {
-		s.servers = s.servers[:0]
+		s.servers, s.listed = s.servers[:0], s.listed[:0]
 	}
 	for _, info := range list {
 		s := p.servers[info.ID]
 		if s == nil || s.info.Addr != info.Addr || !s.info.StartedAt.Equal(info.StartedAt) {
 			s = newServer(info)
+			s.listedSince = now
 			p.servers[info.ID] = s
 			for _, peer := range p.peers {
 				s.peerWork.add(peer.Work[info.ID], 1)
 			}
 		}
 		s.info, s.listVersion = info, p.listVersion
+		svc := p.service(info.Service)
+		svc.listed = append(svc.listed, s)
 		if s.unavailable = !info.AcceptsWork(); !s.unavailable {
-			svc := p.service(info.Service)
 			svc.servers = append(svc.servers, s)
 		}
 	}
@@ -218,14 +222,20 @@
 	return []dispatch.Effect{p.start(now, e, c)}
 }
 
-// missesGoal reports whether the first token is expected too late for the goal. It does not apply to a resumed
-// stream, whose first token has been delivered.
-func (e *entry) missesGoal(now time.Time, c choice) bool {
+// missesGoal reports whether the first token is expected too late for the goal.
+func (e *entry) missesGoal(now time.Time, c choice) bool { return e.lateRisk(now, c.latency) >= 1 }
+
+// lateRisk returns from 0 to 1 how likely a first token is too late for the goal if it is expected after latency. It
+// is 0 for a resumed stream, whose first token has been delivered.
+func (e *entry) lateRisk(now time.Time, latency time.Duration) float64 {
 	if e.svc.engine == nil || e.req.Goal <= 0 || e.waitingSince.After(e.req.Arrived) {
-		return false
+		return 0
+	}
+	left := float64(e.req.Goal - now.Sub(e.req.Arrived))
+	if left <= 0 {
+		return 1
 	}
-	left := e.req.Goal - now.Sub(e.req.Arrived)
-	return c.latency > time.Duration(onTimeMargin*float64(left))
+	return min(max((float64(latency)/left-lateRiskFrom)/(onTimeMargin-lateRiskFrom), 0), 1)
 }
 
 func (p *Policy) start(now time.Time, e *entry, c choice) dispatch.Effect {
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -26,6 +26,8 @@
 	reported   dispatch.Load
 	reportedAt time.Time
 	inFlight   map[request.ID]*entry
+	// listedSince is when the host first saw the server in the list.
+	listedSince time.Time
 	// listVersion is the number of the last server list that contained the server.
 	listVersion int
 	// unavailable servers are no longer listed, are draining or have no valid address.
--- a/internal/trial/model/engine.go
+++ b/internal/trial/model/engine.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"shallotramp/internal/traffic/request"
 )
 
@@ -26,6 +28,9 @@
 	CacheFetchTime time.Duration
 }
 
+// maxCachedParts bounds the prompt parts in the cache of an engine, which holds far fewer.
+const maxCachedParts = 1 << 16
+
 // job is a request on an engine.
 type job struct {
 	call *call
@@ -42,7 +47,10 @@
 	busy  bool
 	queue []*job
 	batch []*job
-	cache map[uint64]time.Time
+	// cache holds the last use of each cached prompt part, and cachedTokens their tokens. The parts used longest ago are
+	// evicted when the cache is full.
+	cache        *simplelru.LRU[uint64, request.Part]
+	cachedTokens int
 	// prefillTokens counts prefilled tokens, repeatedPrefillTokens those of them that another engine had cached.
 	prefillTokens, repeatedPrefillTokens int
 }
@@ -63,7 +71,7 @@
 	}
 	j.prefillLeft = max(uncached, 1)
 	for _, p := range c.req.Parts {
-		e.cache[p.ID] = now
+		e.keep(p)
 	}
 	i, _ := slices.BinarySearchFunc(e.queue, j, func(a, b *job) int {
 		if a.call.urgency != b.call.urgency {
@@ -74,12 +82,34 @@
 	e.queue = slices.Insert(e.queue, i, j)
 }
 
+// newEngine returns an idle engine with an empty cache.
+func newEngine(cfg EngineConfig, name, zone string) *engine {
+	e := &engine{cfg: cfg, name: name, zone: zone}
+	cache, err := simplelru.NewLRU(maxCachedParts, func(_ uint64, p request.Part) { e.cachedTokens -= p.Tokens })
+	if err != nil {
+		panic(err) // The size is a constant above 0.
+	}
+	e.cache = cache
+	return e
+}
+
+// keep adds a part to the cache, or marks it as the one used last, and evicts others if the cache is full.
+func (e *engine) keep(p request.Part) {
+	if !e.cache.Contains(p.ID) {
+		e.cachedTokens += p.Tokens
+	}
+	e.cache.Add(p.ID, p)
+	for e.cfg.CacheTokens > 0 && e.cachedTokens > e.cfg.CacheTokens && e.cache.Len() > 1 {
+		e.cache.RemoveOldest()
+	}
+}
+
 // uncachedTokens returns the number of tokens in the first uncached part and all parts after it. A cached part is of use
 // only if all parts before it are cached too.
 func (e *engine) uncachedTokens(parts []request.Part) int {
 	n := 0
 	for _, p := range parts {
-		if _, ok := e.cache[p.ID]; n > 0 || !ok {
+		if n > 0 || !e.cache.Contains(p.ID) {
 			n += p.Tokens
 		}
 	}
--- a/internal/trial/model/pattern.go
+++ b/internal/trial/model/pattern.go
@@ -24,6 +24,9 @@
 	Engines int
 	Engine  EngineSpec
 	Classes []Class
+	// SameZoneNews and OtherZoneNews are the intervals at which hosts send their state to hosts of their own availability
+	// zone and of other ones, if they differ from the usual ones.
+	SameZoneNews, OtherZoneNews object.Duration
 	// Lost is the number of engines that fail at LostAt. The last ones in the list fail.
 	Lost   int
 	LostAt object.Duration
--- a/internal/trial/model/replay_test.go
+++ b/internal/trial/model/replay_test.go
@@ -57,6 +57,28 @@
 	})
 }
 
+// TestLargeSharedPrompts guards against a copy of each shared prompt in each availability zone, which does not fit the
+// engines' memory, and against hosts that need news of other zones to find a prompt.
+func TestLargeSharedPrompts(t *testing.T) {
+	for _, name := range []string{"large-shared-prompts", "large-shared-prompts-late-news"} {
+		t.Run(name, func(t *testing.T) {
+			p, err := model.BuiltinPattern(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := model.Simulate(p, 1, model.Placement)
+			if 5*r.RepeatedPrefillTokens > r.PrefillTokens {
+				t.Errorf("engines prefilled %d of %d tokens although another engine had them cached, want a fifth at most", r.RepeatedPrefillTokens, r.PrefillTokens)
+			}
+			for class, want := range map[string]float64{"review": 0.95, "audit": 0.95, "quick": 0.97} {
+				if got := r.Classes[class].Attainment(); got < want {
+					t.Errorf("%.3f of the requests of class %s meet their targets, want %.2f", got, class, want)
+				}
+			}
+		})
+	}
+}
+
 func TestOverload(t *testing.T) {
 	convey.Convey("With twice the load that the engines can handle", t, func() {
 		placement, leastLoad := simulateBoth(t, "overload")
--- a/internal/trial/model/simulation.go
+++ b/internal/trial/model/simulation.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -16,8 +17,8 @@
 )
 
 const (
-	// sameZoneStateInterval and otherZoneStateInterval are the intervals at which a host sends its state to the hosts
-	// of its own zone and to those of other zones.
+	// sameZoneStateInterval and otherZoneStateInterval are the usual intervals at which a host sends its state to the
+	// hosts of its own zone and to those of other zones.
 	sameZoneStateInterval  = 200 * time.Millisecond
 	otherZoneStateInterval = time.Second
 	// tickInterval is the interval between calls of [Policy].Tick.
@@ -154,10 +155,8 @@
 	t := route.New(1, nil, []*route.Service{{Name: serviceName, Engine: &route.Engine{Slots: sim.pattern.Engine.Slots, CacheTokens: sim.pattern.Engine.CacheTokens}}},
 		route.Limits{}, false, nil)
 	for i := range sim.pattern.Engines {
-		sim.engines = append(sim.engines, &engine{
-			cfg: sim.pattern.Engine.config(), name: fmt.Sprintf("i-%03d", i), zone: zoneName(i * sim.pattern.Zones / sim.pattern.Engines),
-			cache: map[uint64]time.Time{},
-		})
+		zone := zoneName(i * sim.pattern.Zones / sim.pattern.Engines)
+		sim.engines = append(sim.engines, newEngine(sim.pattern.Engine.config(), fmt.Sprintf("i-%03d", i), zone))
 	}
 	for i := range sim.pattern.Hosts {
 		zone := zoneName(i * sim.pattern.Zones / sim.pattern.Hosts)
@@ -166,9 +165,11 @@
 		sim.hosts = append(sim.hosts, h)
 		sim.every(tickInterval, func(now time.Time) { sim.applyEffects(now, h.policy.Tick(now)) })
 		round := 0
-		sim.every(sameZoneStateInterval, func(now time.Time) {
+		same := cmp.Or(time.Duration(sim.pattern.SameZoneNews), sameZoneStateInterval)
+		other := cmp.Or(time.Duration(sim.pattern.OtherZoneNews), otherZoneStateInterval)
+		sim.every(same, func(now time.Time) {
 			round++
-			sim.sendState(now, h, round%int(otherZoneStateInterval/sameZoneStateInterval) == 0)
+			sim.sendState(now, h, round%max(int(other/same), 1) == 0)
 		})
 	}
 }
