gossip: summaries of availability zones, and hosts without a seed find each other

Cause, shown by a simulation of the packets: full packets, which list addresses, go to hosts of the own zone only once a fleet has more than 12 hosts. Hosts of a zone in which no seed lies then never learn of each other; each took itself for a watcher and read the store itself, and hosts of other zones were forgotten after 20 s although their packets come each 24 s at 295 hosts. News of the work in other zones was 5 s old at 61 hosts, 24 s at 295.

Change: packets to other zones list addresses, most of them of the receiver's zone. Two speakers of each zone send a summary of its work, demand and prompt parts to two hosts of each other zone, which relay it; other packets between zones carry no work in large fleets. Packets name the latest sighting of the duties holder, so that counts reach it. At the first start of a large fleet a host waits 3 s for its zone's members before it reads the store.

--- a/internal/entry/edgehost/gossip.go
+++ b/internal/entry/edgehost/gossip.go
@@ -27,6 +27,10 @@
 	// partGossipTime is how long the placement of a shared prompt part is sent to other hosts. Each host in another
 	// zone gets one packet in that time.
 	partGossipTime = 1200 * time.Millisecond
+	// zonePartGossipTime is how long the placement of a shared prompt part is part of the summaries of the zone, and
+	// zonePartRetention how long it is remembered, because packets within the zone repeat it.
+	zonePartGossipTime = 1500 * time.Millisecond
+	zonePartRetention  = 6 * time.Second
 	// neighbourTimeout is the least time for which a silent host still counts as watching the store. maxLostPackets
 	// is the number of gossip intervals for which a host may be silent; it also limits the age of a host's state.
 	neighbourTimeout = 1500 * time.Millisecond
@@ -54,6 +58,29 @@
 		kept = append(kept, recentPart{x, state.At})
 	}
 	h.recentParts, h.policyState = kept, state
+	h.noteZoneParts(state.PartLocations, state.At)
+	for x, at := range h.zoneParts {
+		if state.At.Sub(at) > zonePartRetention {
+			delete(h.zoneParts, x)
+		}
+	}
+}
+
+// updateZoneState stores the state of the availability zone for summaries to other zones.
+func (h *Host) updateZoneState(state placement.HostState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.zoneState = state
+}
+
+// noteZoneParts records parts that hosts of the own availability zone have placed. Packets repeat them. The caller holds
+// mu.
+func (h *Host) noteZoneParts(parts []placement.PartLocation, now time.Time) {
+	for _, x := range parts {
+		if _, known := h.zoneParts[x]; !known {
+			h.zoneParts[x] = now
+		}
+	}
 }
 
 // recentPart is a shared prompt part that was sent to a server, and the time of the state that listed it.
@@ -62,16 +89,16 @@
 	at time.Time
 }
 
-// fillPacket adds this host's state to a packet for another host, and its usage counts if counts is true.
-func (h *Host) fillPacket(p *gossip.Packet, counts bool) {
+// fillPacket adds this host's state and the given contents to a packet for another host.
+func (h *Host) fillPacket(p *gossip.Packet, c gossip.Contents) {
 	p.TrueTimeMs = h.clock.Now().UnixMilli()
 	if t := h.proxy.Table(); t != nil {
 		p.TableVersion = t.Version
 	}
 	p.Leaving = h.stopping.Load()
 	h.fillLease(p, time.Now())
-	h.fillState(p)
-	if !counts || h.tally == nil {
+	h.fillState(p, c)
+	if !c.Counts || h.tally == nil {
 		return
 	}
 	newest := h.tally.Window(h.clock.Now())
@@ -170,32 +197,71 @@
 	return func(process string) bool { return known[process] }
 }
 
-// fillState adds the digest of the server list and the policy's state to a packet.
-func (h *Host) fillState(p *gossip.Packet) {
+// fillState adds the digest of the server list and the contents taken from the policy's state to a packet.
+func (h *Host) fillState(p *gossip.Packet, c gossip.Contents) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p.ListDigest, p.ListAgeMs = h.staleness.digest, time.Since(h.staleness.changed).Milliseconds()
-	for id, w := range h.policyState.Work {
-		p.Work = append(p.Work, encodeWork(id, w))
-	}
 	for _, c := range h.policyState.Crashes {
 		p.Crashes = append(p.Crashes, &gossip.Crash{
 			Fingerprint: c.Fingerprint, Server: c.Server,
 			BeganAgoMs: time.Since(c.StartedAt).Milliseconds(), EndedAgoMs: time.Since(c.EndedAt).Milliseconds(),
 		})
 	}
-	p.Busy = make(map[string]int32, len(h.policyState.ServerDemand))
-	for name, v := range h.policyState.ServerDemand {
-		p.Busy[name] = int32(v * perMille)
+	if c.Summary {
+		now := time.Now()
+		parts := make([]placement.PartLocation, 0, len(h.zoneParts))
+		for x, at := range h.zoneParts {
+			if now.Sub(at) < zonePartGossipTime {
+				parts = append(parts, x)
+			}
+		}
+		p.Summaries = []*gossip.Summary{{
+			Zone: h.cfg.Zone, AgeMs: now.Sub(h.zoneState.At).Milliseconds(),
+			Work: encodeAllWork(h.zoneState.Work), Busy: encodeDemand(h.zoneState.ServerDemand), Seen: encodeParts(parts),
+		}}
+	}
+	if !c.Work {
+		return
 	}
-	parts := map[string]*gossip.Seen{}
+	p.Work, p.Busy = encodeAllWork(h.policyState.Work), encodeDemand(h.policyState.ServerDemand)
+	parts := make([]placement.PartLocation, 0, len(h.recentParts))
 	for _, x := range h.recentParts {
-		if parts[x.Server] == nil {
-			parts[x.Server] = &gossip.Seen{Server: x.Server}
-			p.Seen = append(p.Seen, parts[x.Server])
+		parts = append(parts, x.PartLocation)
+	}
+	p.Seen = encodeParts(parts)
+}
+
+func encodeAllWork(work map[string]placement.Work) []*gossip.Work {
+	out := make([]*gossip.Work, 0, len(work))
+	for id, w := range work {
+		out = append(out, encodeWork(id, w))
+	}
+	return out
+}
+
+func encodeDemand(demand map[string]float64) map[string]int32 {
+	out := make(map[string]int32, len(demand))
+	for name, v := range demand {
+		out[name] = int32(v * perMille)
+	}
+	return out
+}
+
+// encodeParts groups parts by server.
+func encodeParts(parts []placement.PartLocation) []*gossip.Seen {
+	var out []*gossip.Seen
+	byServer := map[string]*gossip.Seen{}
+	for _, x := range parts {
+		seen := byServer[x.Server]
+		if seen == nil {
+			seen = &gossip.Seen{Server: x.Server}
+			byServer[x.Server] = seen
+			out = append(out, seen)
 		}
-		parts[x.Server].Parts = append(parts[x.Server].Parts, x.Part)
+		seen.Parts = append(seen.Parts, x.Part)
 	}
+	return out
 }
 
 // handlePacket processes a packet of another host.
@@ -207,9 +273,27 @@
 	h.handleLease(p.GetLease())
 	h.noteHolder(m, time.Now())
 	h.checkServersStale(p, m, time.Now())
-	peer := decodePeer(p, m, maxLostPackets*h.gossip.SameZoneInterval())
+	if sighting := p.GetHolderSighting(); sighting != nil {
+		h.noteHolder(gossip.Member{Host: sighting.GetHost(), Zone: sighting.GetZone(), Holder: true}, time.Now())
+	}
+	lifetime := maxLostPackets * h.gossip.SameZoneInterval()
+	states := []placement.HostState{decodePeer(p, m, lifetime)}
+	if m.Zone == h.cfg.Zone {
+		h.mu.Lock()
+		h.noteZoneParts(states[0].PartLocations, time.Now())
+		h.mu.Unlock()
+	}
+	for _, s := range p.GetSummaries() {
+		states = append(states, decodeSummary(s, lifetime))
+	}
 	hosts := len(h.gossip.Members(time.Now())) + 1
-	h.loop.Apply(func(now time.Time) []dispatch.Effect { return h.policy.UpdatePeer(now, peer, hosts) })
+	h.loop.Apply(func(now time.Time) []dispatch.Effect {
+		var out []dispatch.Effect
+		for _, state := range states {
+			out = append(out, h.policy.UpdatePeer(now, state, hosts)...)
+		}
+		return out
+	})
 }
 
 // staleness records whether other hosts have a newer server list or routing table than this host.
@@ -279,13 +363,8 @@
 }
 
 func decodePeer(p *gossip.Packet, m gossip.Member, lifetime time.Duration) placement.HostState {
-	out := placement.HostState{
-		Host: m.Host, Zone: m.Zone, Lifetime: lifetime, Work: make(map[string]placement.Work, len(p.GetWork())),
-		ServerDemand: make(map[string]float64, len(p.GetBusy())),
-	}
-	for _, w := range p.GetWork() {
-		out.Work[w.GetServer()] = decodeWork(w)
-	}
+	out := decodeState(p.GetWork(), p.GetBusy(), p.GetSeen())
+	out.Host, out.Zone, out.Lifetime = m.Host, m.Zone, lifetime
 	now := time.Now()
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, c := range p.GetCrashes() {
@@ -293,10 +372,25 @@
 			Fingerprint: c.GetFingerprint(), Server: c.GetServer(), StartedAt: ago(c.GetBeganAgoMs()), EndedAt: ago(c.GetEndedAgoMs()),
 		})
 	}
-	for name, v := range p.GetBusy() {
+	return out
+}
+
+// decodeSummary returns the state of an availability zone as that of one host, whose name no process can have.
+func decodeSummary(s *gossip.Summary, lifetime time.Duration) placement.HostState {
+	out := decodeState(s.GetWork(), s.GetBusy(), s.GetSeen())
+	out.Host, out.Zone, out.Lifetime = "zone "+s.GetZone(), s.GetZone(), lifetime
+	return out
+}
+
+func decodeState(work []*gossip.Work, busy map[string]int32, seen []*gossip.Seen) placement.HostState {
+	out := placement.HostState{Work: make(map[string]placement.Work, len(work)), ServerDemand: make(map[string]float64, len(busy))}
+	for _, w := range work {
+		out.Work[w.GetServer()] = decodeWork(w)
+	}
+	for name, v := range busy {
 		out.ServerDemand[name] = float64(v) / perMille
 	}
-	for _, x := range p.GetSeen() {
+	for _, x := range seen {
 		for _, part := range x.GetParts() {
 			out.PartLocations = append(out.PartLocations, placement.PartLocation{Server: x.GetServer(), Part: part})
 		}
--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -67,7 +67,9 @@
 	// LinkMbps is the bandwidth of the host's network link. Hosts with the most bandwidth watch the store on behalf
 	// of others.
 	LinkMbps int
-	Retry    placement.RetryLimits
+	// FirstStart is set while all hosts of the deployment start together for the first time, before there are requests.
+	FirstStart bool
+	Retry      placement.RetryLimits
 	// Grace is the time between the signal to stop and the moment at which the process is killed.
 	Grace time.Duration
 	// ApplyTimeout is the time within which a new configuration must take effect. A watch request to the store lasts
@@ -115,12 +117,16 @@
 
 	// mu guards the fields below, which the reflectors, the gossip endpoint and runPeriodic share, and those fields of
 	// cfg that [Host.Reload] changes.
-	mu           sync.Mutex
-	serverList   *serverlist.List
-	storeDown    map[string]bool
-	staleness    staleness
-	policyState  placement.HostState
-	recentParts  []recentPart
+	mu          sync.Mutex
+	serverList  *serverlist.List
+	storeDown   map[string]bool
+	staleness   staleness
+	policyState placement.HostState
+	recentParts []recentPart
+	// zoneState is the state of the availability zone and zoneParts the placements of prompt parts by its hosts, both
+	// for summaries to other zones.
+	zoneState    placement.HostState
+	zoneParts    map[placement.PartLocation]time.Time
 	serviceLoads map[string]supply.Load
 	// reportedHolder is the other process that holds the duties lease, and reportedHolderAt when it first said so.
 	reportedHolder   string
@@ -131,7 +137,7 @@
 func New(cfg Config, p Platform, logs *log.Log) *Host {
 	h := &Host{
 		cfg: cfg, platform: p, log: logs.Process, logs: logs, processID: cfg.Host + "/" + uuid.NewString()[:8],
-		clock: fleetclock.New(time.Now(), fleetclock.SinceBoot), serverList: serverlist.New(), storeDown: map[string]bool{},
+		clock: fleetclock.New(time.Now(), fleetclock.SinceBoot), serverList: serverlist.New(), storeDown: map[string]bool{}, zoneParts: map[placement.PartLocation]time.Time{},
 	}
 	h.countsCompleteFrom = h.clock.Now().Add(warmUp)
 	h.servers.Store(&[]backend.Server{})
@@ -180,7 +186,12 @@
 	// and followersPerWatcher the number of hosts for each watcher in a large zone, as they read the objects from
 	// it. A list of thousands of servers is nearly a megabyte, and some links have only 10 Mbit/s.
 	minWatchers         = 2
-	followersPerWatcher = 10
+	followersPerWatcher = 20
+	// firstPacketsTime is the time in which hosts that start together exchange first packets. If a host then knows more
+	// than smallFleetHosts others, it takes another fleetDiscoveryTime to find all hosts of its zone.
+	firstPacketsTime   = 600 * time.Millisecond
+	smallFleetHosts    = 12
+	fleetDiscoveryTime = 2400 * time.Millisecond
 	// periodicInterval is the time between two rounds of runPeriodic.
 	periodicInterval = 250 * time.Millisecond
 	// readHeaderTimeout limits the time to read a request header. Only callers that have lost their connection take
@@ -203,8 +214,8 @@
 		go f(work, done)
 	}
 	start(h.loop.Run)
-	start(h.tableReflector.Run)
-	start(h.serversReflector.Run)
+	start(h.whenFleetKnown(h.tableReflector.Run))
+	start(h.whenFleetKnown(h.serversReflector.Run))
 	start(h.gossip.Run)
 	start(h.runPeriodic)
 	if h.leases != nil {
@@ -244,6 +255,30 @@
 	return err
 }
 
+// whenFleetKnown returns a function that calls run once this host has had time to find the others of a large fleet that
+// starts for the first time. Until it knows the watchers of its zone it would read from the store itself, like all
+// others.
+func (h *Host) whenFleetKnown(run func(context.Context, chan<- error)) func(context.Context, chan<- error) {
+	return func(ctx context.Context, done chan<- error) {
+		if h.cfg.FirstStart {
+			sleep(ctx, firstPacketsTime)
+			if h.gossip.KnownHosts() > smallFleetHosts {
+				sleep(ctx, fleetDiscoveryTime)
+			}
+		}
+		run(ctx, done)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // listen serves handler at addr until the returned server is closed.
 func (h *Host) listen(addr netip.AddrPort, handler http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp4", addr.String())
--- a/internal/entry/edgehost/watch.go
+++ b/internal/entry/edgehost/watch.go
@@ -198,8 +198,12 @@
 	if h.tally != nil {
 		h.tally.Prune(h.clock.Now())
 	}
+	speaker := h.gossip.IsSpeaker(time.Now())
 	h.loop.Apply(func(now time.Time) []dispatch.Effect {
 		h.updatePolicyState(h.policy.State(now))
+		if speaker {
+			h.updateZoneState(h.policy.ZoneState(now))
+		}
 		h.updateLoads(now)
 		return nil
 	})
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -35,6 +35,8 @@
 	// overdueIntervals is the number of usual intervals without a packet after which a host of the same zone goes
 	// before the other hosts that are due.
 	overdueIntervals = 2
+	// minOtherPeerAddrs is the number of addresses of other zones that a packet lists beside those of the target's zone.
+	minOtherPeerAddrs = 2
 	// minMemberTimeout is the least time for which a silent host still counts as a member. In a large fleet the time
 	// is longer: maxMissedPackets intervals between packets of another availability zone.
 	minMemberTimeout = 4 * time.Second
@@ -80,8 +82,8 @@
 // Endpoint sends and receives packets. Its methods are safe for concurrent use.
 type Endpoint struct {
 	self Self
-	// fill completes a packet before it is sent, with usage counts if counts is true.
-	fill func(p *Packet, counts bool)
+	// fill completes a packet before it is sent.
+	fill func(p *Packet, c Contents)
 	// onPacket is called with each packet of another host.
 	onPacket func(p *Packet, sender Member)
 	// onError is called for each packet that could not be received, encoded or sent.
@@ -91,14 +93,29 @@
 	peers map[netip.Addr]*peer
 	// round counts the calls of dueTargets, to send full packets within the zone each baseCrossZoneInterval.
 	round int
-	// holder is set while this host holds the duties lease. It then sends to each host of another zone twice a
-	// second.
+	// holder is set while this host holds the duties lease. In a small fleet it then sends to each host of another
+	// zone twice a second. In a large one, the others learn of it by sightings.
 	holder bool
+	// summaries holds the latest summary of each other availability zone.
+	summaries     map[string]remoteSummary
+	summarySentAt time.Time
+	// summaryRound counts the calls of summaryTargets that returned hosts.
+	summaryRound int
+	sighting     holderSighting
 }
 
 type peer struct {
 	Member
 	lastSent time.Time
+	// summaryAt is when the host last sent a summary of its availability zone.
+	summaryAt time.Time
+}
+
+// Contents says what a packet carries beside the state of its sender.
+type Contents struct {
+	// Counts stands for the usage counts, Work for the outstanding work of the sender, and Summary for that of its whole
+	// availability zone.
+	Counts, Work, Summary bool
 }
 
 // Option configures an [Endpoint].
@@ -112,8 +129,8 @@
 
 // New returns an Endpoint. It calls fill to complete each packet before it is sent, and onPacket for each packet that
 // it receives.
-func New(self Self, fill func(p *Packet, counts bool), onPacket func(p *Packet, sender Member), opts ...Option) *Endpoint {
-	e := &Endpoint{self: self, fill: fill, onPacket: onPacket, onError: func(string, error) {}, peers: map[netip.Addr]*peer{}}
+func New(self Self, fill func(p *Packet, c Contents), onPacket func(p *Packet, sender Member), opts ...Option) *Endpoint {
+	e := &Endpoint{self: self, fill: fill, onPacket: onPacket, onError: func(string, error) {}, peers: map[netip.Addr]*peer{}, summaries: map[string]remoteSummary{}}
 	for _, o := range opts {
 		o(e)
 	}
@@ -147,6 +164,13 @@
 	return out
 }
 
+// KnownHosts returns the number of other hosts that are known, also of those that have not sent a packet yet.
+func (e *Endpoint) KnownHosts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.peers)
+}
+
 // Run exchanges packets until ctx ends and then reports on done.
 func (e *Endpoint) Run(ctx context.Context, done chan<- error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(e.self.Addr, e.self.Port)))
@@ -161,7 +185,9 @@
 	for {
 		select {
 		case <-t.C:
-			e.send(conn, time.Now())
+			for _, d := range e.datagrams(time.Now()) {
+				e.write(conn, d.raw, d.to)
+			}
 		case err := <-received:
 			done <- err
 			return
@@ -212,6 +238,14 @@
 		LinkMbps: int(p.GetLinkMbps()),
 	}
 	member := m.Member
+	if m.Holder {
+		e.sighting = holderSighting{host: m.Host, zone: m.Zone, addr: from, at: now}
+		e.clearOtherHolders(from, now)
+	} else if e.sighting.addr == from {
+		e.sighting = holderSighting{at: now}
+	}
+	e.acceptSummaries(p, m, now)
+	e.acceptSighting(p, now)
 	for _, raw := range p.GetPeers() {
 		if a, ok := netip.AddrFromSlice(raw); ok && a != e.self.Addr && e.peers[a] == nil {
 			// The sender knows this host. It becomes a member with its own first packet.
@@ -222,23 +256,43 @@
 	e.onPacket(p, member)
 }
 
-// send sends packets to the hosts that are due.
-func (e *Endpoint) send(conn *net.UDPConn, now time.Time) {
-	targets, peerAddrs := e.dueTargets(now)
-	if len(targets) == 0 {
-		return
-	}
-	var partial, full []byte
-	for _, t := range targets {
-		raw := &partial
-		if t.full {
-			raw = &full
+// datagram is an encoded packet and its receiver.
+type datagram struct {
+	to  netip.Addr
+	raw []byte
+}
+
+// datagrams returns what is to be sent now: packets to the hosts that are due and, if this host is a speaker, summaries
+// of its availability zone.
+func (e *Endpoint) datagrams(now time.Time) []datagram {
+	var out []datagram
+	// Hosts that get the same contents get the same packet.
+	packets := map[target][]byte{}
+	for _, t := range e.dueTargets(now) {
+		kind := target{full: t.full, zone: t.zone}
+		raw, ok := packets[kind]
+		if !ok {
+			raw = e.buildPacket(kind, now)
+			packets[kind] = raw
 		}
-		if *raw == nil {
-			*raw = e.buildPacket(t.full, peerAddrs)
+		out = append(out, datagram{t.addr, raw})
+	}
+	if speakers := e.summaryTargets(now); len(speakers) > 0 {
+		raw := e.buildSummary(now)
+		for _, a := range speakers {
+			out = append(out, datagram{a, raw})
 		}
-		e.write(conn, *raw, t.addr)
 	}
+	return out
+}
+
+// buildSummary returns an encoded packet with a summary of the availability zone.
+func (e *Endpoint) buildSummary(now time.Time) []byte {
+	p := &Packet{Host: e.self.Host, Zone: e.self.Zone, LinkMbps: int32(e.self.LinkMbps)}
+	e.mu.Lock()
+	e.addSighting(p, now)
+	e.mu.Unlock()
+	return e.encode(p, Contents{Summary: true})
 }
 
 // write sends an encoded packet, or nothing if raw is nil.
@@ -258,23 +312,58 @@
 
 // sendLast sends all members a packet that says that this process ends, with its last usage counts.
 func (e *Endpoint) sendLast(conn *net.UDPConn) {
-	raw := e.encode(&Packet{Host: e.self.Host, Zone: e.self.Zone, Full: true, Last: true})
+	raw := e.encode(&Packet{Host: e.self.Host, Zone: e.self.Zone, Full: true, Last: true}, Contents{Counts: true, Work: true})
 	for _, m := range e.Members(time.Now()) {
 		e.write(conn, raw, m.Addr)
 	}
 }
 
-func (e *Endpoint) buildPacket(full bool, peerAddrs [][]byte) []byte {
-	p := &Packet{Host: e.self.Host, Zone: e.self.Zone, LinkMbps: int32(e.self.LinkMbps), Full: full}
-	if full {
-		p.Peers = peerAddrs
+// buildPacket returns the encoded packet for targets of a kind. Packets to hosts of other availability zones list
+// addresses too: hosts of a zone without a seed find each other only through hosts of other zones.
+func (e *Endpoint) buildPacket(kind target, now time.Time) []byte {
+	p := &Packet{Host: e.self.Host, Zone: e.self.Zone, LinkMbps: int32(e.self.LinkMbps), Full: kind.full}
+	sameZone := kind.zone == e.self.Zone
+	e.mu.Lock()
+	large := e.isLarge()
+	if kind.full || !sameZone {
+		p.Peers = e.peerAddrs(kind.zone, now)
+	}
+	if large {
+		e.addSighting(p, now)
+	}
+	if large && sameZone {
+		e.addRelayed(p, now)
+	}
+	e.mu.Unlock()
+	return e.encode(p, Contents{Counts: kind.full, Work: sameZone || !large})
+}
+
+// peerAddrs returns addresses of up to fanout members, drawn at random, most of them of the given availability zone.
+// The caller holds mu.
+func (e *Endpoint) peerAddrs(zone string, now time.Time) [][]byte {
+	var sameZone, others [][]byte
+	for a, p := range e.peers {
+		switch {
+		case p.Host == "" || now.Sub(p.LastSeen) >= e.memberTimeout():
+		case p.Zone == zone:
+			sameZone = append(sameZone, a.AsSlice())
+		default:
+			others = append(others, a.AsSlice())
+		}
 	}
-	return e.encode(p)
+	out := sample(sameZone, fanout)
+	return append(out, sample(others, max(fanout-len(out), minOtherPeerAddrs))...)
+}
+
+// sample returns up to n elements of l, drawn at random. It changes the order of l.
+func sample(l [][]byte, n int) [][]byte {
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l[:min(n, len(l))]
 }
 
 // encode completes a packet and returns its encoding, or nil if that fails.
-func (e *Endpoint) encode(p *Packet) []byte {
-	e.fill(p, p.GetFull())
+func (e *Endpoint) encode(p *Packet, c Contents) []byte {
+	e.fill(p, c)
 	raw, err := proto.Marshal(p)
 	if err == nil && len(raw) > maxPacketBytes {
 		err = errTooLarge
@@ -286,14 +375,18 @@
 	return raw
 }
 
+// target is a host that is sent a packet.
 type target struct {
 	addr netip.Addr
+	// zone is the host's availability zone, empty if it is unknown.
+	zone string
+	// full packets carry usage counts.
 	full bool
 }
 
-// dueTargets returns the hosts that are sent a packet now, and the addresses of known hosts for full packets.
-// Hosts of the same zone are due more often than others. The holder of the duties lease always gets full packets.
-func (e *Endpoint) dueTargets(now time.Time) ([]target, [][]byte) {
+// dueTargets returns the hosts that are sent a packet now. Hosts of the same zone are due more often than others. The
+// holder of the duties lease always gets full packets.
+func (e *Endpoint) dueTargets(now time.Time) []target {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, a := range e.self.Seeds {
@@ -302,17 +395,13 @@
 		}
 	}
 	var due []*peer
-	var peerAddrs [][]byte
 	interval := e.sameZoneInterval()
 	for a, p := range e.peers {
 		silence := now.Sub(p.LastSeen)
-		if silence > peerRetention && !slices.Contains(e.self.Seeds, a) {
+		if silence > e.retention(p) && !slices.Contains(e.self.Seeds, a) {
 			delete(e.peers, a)
 			continue
 		}
-		if silence < e.memberTimeout() {
-			peerAddrs = append(peerAddrs, a.AsSlice())
-		}
 		if now.Sub(p.lastSent) >= e.interval(p, silence)-baseSameZoneInterval/2 {
 			due = append(due, p)
 		}
@@ -325,19 +414,24 @@
 		})
 		due = due[:fanout]
 	}
-	if len(peerAddrs) > fanout {
-		rand.Shuffle(len(peerAddrs), func(i, j int) { peerAddrs[i], peerAddrs[j] = peerAddrs[j], peerAddrs[i] })
-		peerAddrs = peerAddrs[:fanout]
-	}
 	e.round++
 	out := make([]target, 0, len(due))
 	for _, p := range due {
 		p.lastSent = now
 		crossZone := p.Zone != e.self.Zone
 		full := p.Holder || crossZone && len(e.peers) <= fanout || !crossZone && e.round%int(baseCrossZoneInterval/baseSameZoneInterval) == 0
-		out = append(out, target{addr: p.Addr, full: full})
+		out = append(out, target{addr: p.Addr, zone: p.Zone, full: full})
+	}
+	return out
+}
+
+// retention is how long packets are still sent to a silent host. In a large fleet the time between two packets of a
+// host of another zone can be longer than peerRetention.
+func (e *Endpoint) retention(p *peer) time.Duration {
+	if p.Host == "" {
+		return peerRetention
 	}
-	return out, peerAddrs
+	return max(peerRetention, e.memberTimeout()+peerRetention/2)
 }
 
 func boolToInt(b bool) int {
@@ -350,11 +444,11 @@
 // interval returns the time between two packets to a host that has been silent for the given time.
 func (e *Endpoint) interval(p *peer, silence time.Duration) time.Duration {
 	switch {
-	case silence >= e.memberTimeout():
+	case silence >= e.memberTimeout(), p.Host == "":
 		return probeInterval
 	case p.Zone == e.self.Zone:
 		return baseSameZoneInterval
-	case p.Holder, e.holder:
+	case p.Holder, e.holder && !e.isLarge():
 		return baseCrossZoneInterval / 2
 	}
 	return e.crossZoneInterval()
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -46,9 +46,9 @@
 	for _, s := range seeds {
 		self.Seeds = append(self.Seeds, netip.MustParseAddr(s))
 	}
-	h.endpoint = gossip.New(self, func(p *gossip.Packet, counts bool) {
+	h.endpoint = gossip.New(self, func(p *gossip.Packet, c gossip.Contents) {
 		p.TableVersion = 7
-		if counts {
+		if c.Counts {
 			p.Counts = []*gossip.Counts{{Window: 1, Requests: map[string]int64{"org": 5}}}
 		}
 	}, func(p *gossip.Packet, m gossip.Member) {
--- a/internal/fleet/gossip/interval_test.go
+++ b/internal/fleet/gossip/interval_test.go
@@ -39,7 +39,7 @@
 				for _, p := range e.peers {
 					p.LastSeen = at
 				}
-				targets, _ := e.dueTargets(at)
+				targets := e.dueTargets(at)
 				if len(targets) > fanout {
 					t.Fatalf("%d packets at once, want at most %d", len(targets), fanout)
 				}
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -310,6 +310,38 @@
 	return out
 }
 
+// ZoneState returns the outstanding work of all hosts of the own availability zone as one state.
+func (p *Policy) ZoneState(now time.Time) HostState {
+	out := HostState{At: now, Zone: p.zone, Work: make(map[string]Work, len(p.servers)), ServerDemand: map[string]float64{}}
+	add := func(id string, w Work) {
+		sum := out.Work[id]
+		sum.add(w, 1)
+		out.Work[id] = sum
+	}
+	for id, s := range p.servers {
+		if s.localWork != (Work{}) {
+			add(id, s.localWork)
+		}
+	}
+	for name, s := range p.services {
+		if s.engine != nil {
+			out.ServerDemand[name] = p.localDemand(now, s)
+		}
+	}
+	for _, peer := range p.peers {
+		if peer.Zone != p.zone {
+			continue
+		}
+		for id, w := range peer.Work {
+			add(id, w)
+		}
+		for name, v := range peer.ServerDemand {
+			out.ServerDemand[name] += v
+		}
+	}
+	return out
+}
+
 // maxPeerStateAge returns the age of the oldest state of another host that is in use.
 func (p *Policy) maxPeerStateAge(now time.Time) time.Duration {
 	var age time.Duration
