gossip, edgehost: hosts of a new fleet find each other in seconds

Cause: at 295 hosts three seeds answered 60 hosts a second each, so that a host knew 33 of the 58 others of its zone after three seconds, in simulation, and some none; those read the store themselves.

Change: the first packet of a host is answered at once with addresses of its zone; hosts that are only listed are asked first; at the first start a host reads the store when it has found no new host for 0.6 s (4 s at most). The server list is read again a fifth of the bound of the configuration after a change instead of an eighth.

--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -181,17 +181,18 @@
 	relistInterval = 20 * time.Second
 	// coalesceDivisor divides Config.ApplyTimeout to give the pause after a change of the server list. Changes come
 	// in groups, and each call to the store is paid for.
-	coalesceDivisor = 8
+	coalesceDivisor = 5
 	// minWatchers is the least number of hosts of an availability zone that watch the store on behalf of the others,
 	// and followersPerWatcher the number of hosts for each watcher in a large zone, as they read the objects from
 	// it. A list of thousands of servers is nearly a megabyte, and some links have only 10 Mbit/s.
 	minWatchers         = 2
 	followersPerWatcher = 20
 	// firstPacketsTime is the time in which hosts that start together exchange first packets. If a host then knows more
-	// than smallFleetHosts others, it takes another fleetDiscoveryTime to find all hosts of its zone.
-	firstPacketsTime   = 600 * time.Millisecond
-	smallFleetHosts    = 12
-	fleetDiscoveryTime = 2400 * time.Millisecond
+	// than smallFleetHosts others, it waits until it has found no more for discoveryPause, or for maxDiscoveryTime.
+	firstPacketsTime = 600 * time.Millisecond
+	smallFleetHosts  = 12
+	discoveryPause   = 600 * time.Millisecond
+	maxDiscoveryTime = 4 * time.Second
 	// periodicInterval is the time between two rounds of runPeriodic.
 	periodicInterval = 250 * time.Millisecond
 	// readHeaderTimeout limits the time to read a request header. Only callers that have lost their connection take
@@ -262,14 +263,24 @@
 	return func(ctx context.Context, done chan<- error) {
 		if h.cfg.FirstStart {
 			sleep(ctx, firstPacketsTime)
-			if h.gossip.KnownHosts() > smallFleetHosts {
-				sleep(ctx, fleetDiscoveryTime)
-			}
+			h.awaitDiscovery(ctx)
 		}
 		run(ctx, done)
 	}
 }
 
+// awaitDiscovery waits until no more hosts of a large fleet are found.
+func (h *Host) awaitDiscovery(ctx context.Context) {
+	start, foundAt := time.Now(), time.Now()
+	known := h.gossip.KnownHosts()
+	for known > smallFleetHosts && time.Since(foundAt) < discoveryPause && time.Since(start) < maxDiscoveryTime && ctx.Err() == nil {
+		sleep(ctx, discoveryPause/4)
+		if n := h.gossip.KnownHosts(); n != known {
+			known, foundAt = n, time.Now()
+		}
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -35,6 +35,8 @@
 	// overdueIntervals is the number of usual intervals without a packet after which a host of the same zone goes
 	// before the other hosts that are due.
 	overdueIntervals = 2
+	// maxWelcomes bounds the new hosts that are sent a packet at once beside the hosts that are due.
+	maxWelcomes = 64
 	// minOtherPeerAddrs is the number of addresses of other zones that a packet lists beside those of the target's zone.
 	minOtherPeerAddrs = 2
 	// minMemberTimeout is the least time for which a silent host still counts as a member. In a large fleet the time
@@ -91,6 +93,8 @@
 
 	mu    sync.Mutex
 	peers map[netip.Addr]*peer
+	// welcomes are the hosts from which a first packet has come and that were not sent one since.
+	welcomes []netip.Addr
 	// round counts the calls of dueTargets, to send full packets within the zone each baseCrossZoneInterval.
 	round int
 	// holder is set while this host holds the duties lease. In a small fleet it then sends to each host of another
@@ -232,6 +236,9 @@
 		m = &peer{}
 		e.peers[from] = m
 	}
+	if m.Host != p.GetHost() && len(e.welcomes) < maxWelcomes {
+		e.welcomes = append(e.welcomes, from)
+	}
 	m.Member = Member{
 		Host: p.GetHost(), Zone: p.GetZone(), Addr: from, LastSeen: now,
 		Holder: p.GetHolder(), Leaving: p.GetLeaving(), TableVersion: p.GetTableVersion(),
@@ -268,7 +275,7 @@
 	var out []datagram
 	// Hosts that get the same contents get the same packet.
 	packets := map[target][]byte{}
-	for _, t := range e.dueTargets(now) {
+	for _, t := range append(e.welcomeTargets(now), e.dueTargets(now)...) {
 		kind := target{full: t.full, zone: t.zone}
 		raw, ok := packets[kind]
 		if !ok {
@@ -410,7 +417,12 @@
 		rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 		overdue := func(p *peer) bool { return p.Zone == e.self.Zone && now.Sub(p.lastSent) > overdueIntervals*interval }
 		slices.SortStableFunc(due, func(a, b *peer) int {
-			return cmp.Or(boolToInt(b.Holder)-boolToInt(a.Holder), boolToInt(overdue(b))-boolToInt(overdue(a)))
+			return cmp.Or(
+				boolToInt(b.Holder)-boolToInt(a.Holder),
+				boolToInt(overdue(b))-boolToInt(overdue(a)),
+				// Hosts that are known only from lists of addresses are found sooner.
+				boolToInt(b.Host == "")-boolToInt(a.Host == ""),
+			)
 		})
 		due = due[:fanout]
 	}
@@ -425,6 +437,22 @@
 	return out
 }
 
+// welcomeTargets returns the hosts from which a first packet has come since the last call. They are sent the addresses of
+// their zone at once: when all hosts of a large fleet start together, they know only the few seeds.
+func (e *Endpoint) welcomeTargets(now time.Time) []target {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make([]target, 0, len(e.welcomes))
+	for _, a := range e.welcomes {
+		if p := e.peers[a]; p != nil {
+			p.lastSent = now
+			out = append(out, target{addr: a, zone: p.Zone, full: p.Zone == e.self.Zone})
+		}
+	}
+	e.welcomes = e.welcomes[:0]
+	return out
+}
+
 // retention is how long packets are still sent to a silent host. In a large fleet the time between two packets of a
 // host of another zone can be longer than peerRetention.
 func (e *Endpoint) retention(p *peer) time.Duration {
--- a/internal/fleet/gossip/summary_test.go
+++ b/internal/fleet/gossip/summary_test.go
@@ -27,7 +27,7 @@
 		t: t, rng: rand.New(rand.NewPCG(1, 1)), now: time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC),
 		endpoints: map[netip.Addr]*Endpoint{}, cut: func(string, string) bool { return false },
 	}
-	seeds := []netip.Addr{hostAddr(0, 0), hostAddr(1, 0)}
+	seeds := []netip.Addr{hostAddr(0, 0), hostAddr(1, 0), hostAddr(2%zones, 0)}
 	for z := range zones {
 		for i := range hostsPerZone {
 			self := Self{Host: fmt.Sprintf("%d-%d", z, i), Zone: fmt.Sprintf("z-%d", z), Addr: hostAddr(z, i), Seeds: seeds, LinkMbps: 10 + 10*(i%3)}
@@ -194,3 +194,23 @@
 		t.Errorf("%d hosts still take the former holder for the holder", got)
 	}
 }
+
+// TestZonesWithoutSeed guards against hosts that never find the others of their zone because no seed lies there, and
+// against a start at which a few seeds are asked by hundreds of hosts.
+func TestZonesWithoutSeed(t *testing.T) {
+	// Traffic starts more than ten seconds after the hosts.
+	const zones, hostsPerZone = 5, 59
+	f := newSimulatedFleet(t, zones, hostsPerZone)
+	f.run(10 * time.Second)
+	for _, e := range f.endpoints {
+		known := 0
+		for _, m := range e.Members(f.now) {
+			if m.Zone == e.self.Zone {
+				known++
+			}
+		}
+		if known < hostsPerZone-1 {
+			t.Fatalf("host %s of zone %s knows %d hosts of its zone after ten seconds, want %d", e.self.Host, e.self.Zone, known, hostsPerZone-1)
+		}
+	}
+}
