connection, edge: bytes without end are cut off

Cause: a response head, informational responses and the body of a response to another request were read without a bound, until the deadline of the request. A buffered body of more than 16 MiB was cut off there and sent to the caller as a complete answer with status 200. Closing an unread body read the rest of it. Transports of other clients allowed heads of 10 MiB, and some bodies without a bound.

Change: heads are limited to 64 KiB, informational responses to five; a buffered body over the limit makes the attempt broken; an unread body is closed by closing its connection. Clients of neighbours, of the store, of reports and of server counts limit heads and bodies, lists of the platform's store pages.

Not covered: events of a watch on the product's own store.

--- a/internal/engine/connection/connection.go
+++ b/internal/engine/connection/connection.go
@@ -30,6 +30,10 @@
 	maxStaleResponses = 3
 	// maxStaleBodyBytes limits the body of a discarded response.
 	maxStaleBodyBytes = 1 << 20
+	// maxHeadBytes limits the status line and the header of a response, and maxInformational the informational responses
+	// before it. A faulty server may send either without end.
+	maxHeadBytes     = 64 << 10
+	maxInformational = 5
 	// tcpUserTimeout closes a connection whose peer stops acknowledging data. During a network partition no reset
 	// arrives.
 	tcpUserTimeout = 2 * time.Second
@@ -59,6 +63,7 @@
 type Conn struct {
 	addr    netip.AddrPort
 	netConn net.Conn
+	in      *limitedReader
 	br      *bufio.Reader
 	// requests counts the requests sent on the connection, including the current one.
 	requests int
@@ -87,7 +92,8 @@
 	if err != nil {
 		return nil, &Error{Addr: addr, Cause: err}
 	}
-	return &Conn{addr: addr, netConn: c, br: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	in := &limitedReader{r: c}
+	return &Conn{addr: addr, netConn: c, in: in, br: bufio.NewReaderSize(in, readBufferBytes)}, nil
 }
 
 // Reused reports whether the connection carried a request before the current one.
@@ -116,7 +122,8 @@
 			res.Body = &responseBody{conn: c, ctx: ctx, body: res.Body}
 			return res, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBodyBytes)); err != nil || res.Close || res.ContentLength < 0 && !isChunked(res) {
+		n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxStaleBodyBytes+1))
+		if err != nil || n > maxStaleBodyBytes || res.Close || res.ContentLength < 0 && !isChunked(res) {
 			return nil, c.fail(ctx, errors.New("the server sent a response to another request, after which the connection could not be used"))
 		}
 	}
@@ -157,15 +164,41 @@
 
 // read returns the next final response and skips informational ones.
 func (c *Conn) read(req *http.Request) (*http.Response, error) {
-	for {
+	for range maxInformational + 1 {
+		c.in.limit(maxHeadBytes)
 		res, err := http.ReadResponse(c.br, req)
 		if err != nil {
 			return nil, err
 		}
+		c.in.unlimit()
 		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
 			return res, nil
 		}
 	}
+	return nil, errors.Newf("the server sent more than %d informational responses", maxInformational)
+}
+
+// limitedReader returns an error after a number of bytes if a limit is set.
+type limitedReader struct {
+	r       io.Reader
+	limited bool
+	left    int
+}
+
+func (l *limitedReader) limit(n int) { l.limited, l.left = true, n }
+func (l *limitedReader) unlimit()    { l.limited = false }
+
+// Read implements [io.Reader].
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errors.Newf("the response header is larger than %d bytes", maxHeadBytes)
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 // fail closes the connection and wraps err, or the cause of ctx if ctx has ended.
@@ -246,11 +279,15 @@
 	return n, err
 }
 
-// Close implements [io.Closer].
+// Close implements [io.Closer]. If the body has not been read to its end, Close closes the connection first: closing the
+// body of net/http would read the rest, which may have no end.
 func (b *responseBody) Close() error {
 	if b.stop != nil && !b.stop() {
 		// The context ended and set a deadline on the connection, which cannot be reused.
 		b.conn.bodyRead = false
 	}
+	if !b.conn.bodyRead {
+		b.conn.Close()
+	}
 	return b.body.Close()
 }
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -23,6 +23,9 @@
 // maxResponseBytes limits a response that is buffered before it is forwarded.
 const maxResponseBytes = 16 << 20
 
+// errResponseTooLarge means that a response that is to be buffered has more bytes than maxResponseBytes.
+var errResponseTooLarge = errors.New("the response of the backend server is too large")
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -159,8 +162,11 @@
 // forwardBuffered reads the complete response before it forwards any of it. Otherwise a truncated response could look
 // complete to the caller.
 func (t *transaction) forwardBuffered(conn *connection.Conn, resp *http.Response, respHeaders ResponseHeaders) (request.Outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	_ = resp.Body.Close() // ReadAll has already returned any read error.
+	if len(body) > maxResponseBytes {
+		err = errResponseTooLarge
+	}
 	if err != nil {
 		conn.Close()
 		if t.ctx.Err() != nil {
--- a/internal/entry/gateway/claim.go
+++ b/internal/entry/gateway/claim.go
@@ -56,9 +56,10 @@
 // Idempotency-Key on its own.
 func newAtMostOnceTransport() http.RoundTripper {
 	return &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
 	}
 }
 
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -42,6 +42,9 @@
 // is small because a stream event has a few hundred bytes and a host has thousands of open streams.
 const backendBufferBytes = 1 << 10
 
+// maxResponseHeaderBytes limits the header of a response of a backend server.
+const maxResponseHeaderBytes = 64 << 10
+
 // UsageCounter counts the usage of each organisation.
 type UsageCounter interface {
 	Count(organisation string, u meter.Usage)
@@ -131,12 +134,13 @@
 		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, openCalls: newCallRegistry(), classStats: &classCounterMap{},
 		atMostOnceTransport: newAtMostOnceTransport(),
 		backendTransport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
-			MaxIdleConnsPerHost: 256,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-			ReadBufferSize:      backendBufferBytes,
-			WriteBufferSize:     backendBufferBytes,
+			DialContext:            (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
+			MaxIdleConnsPerHost:    256,
+			IdleConnTimeout:        time.Minute,
+			DisableCompression:     true,
+			ReadBufferSize:         backendBufferBytes,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
+			WriteBufferSize:        backendBufferBytes,
 		},
 	}
 	for _, o := range opts {
--- a/internal/provider/feed/source.go
+++ b/internal/provider/feed/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,6 +21,9 @@
 	// listTimeout is the timeout of a list from a neighbour. A request for changes times out waitMargin after its wait.
 	listTimeout = 500 * time.Millisecond
 	waitMargin  = 400 * time.Millisecond
+	// maxPageBytes bounds a page of a neighbour, and maxHeaderBytes its header.
+	maxPageBytes   = 32 << 20
+	maxHeaderBytes = 16 << 10
 	// failureBackoff is how long a neighbour receives no requests after a failed one.
 	failureBackoff = 3 * time.Second
 	// maxNotReadyLists is the number of lists requested from neighbours that have none yet before the store is asked.
@@ -55,8 +59,9 @@
 	return &Source{
 		store: st, neighbours: neighbours, onFailure: onFailure, failedAt: map[netip.AddrPort]time.Time{},
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: listTimeout / 2}).DialContext,
-			MaxIdleConnsPerHost: 2,
+			DialContext:            (&net.Dialer{Timeout: listTimeout / 2}).DialContext,
+			MaxIdleConnsPerHost:    2,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 	}
 }
@@ -219,5 +224,6 @@
 		return Page{}, &store.Error{Reason: store.Unavailable, Kind: kind, Cause: errors.Newf("neighbour %s responded with status %d", n, res.StatusCode)}
 	}
 	var p Page
-	return p, json.NewDecoder(res.Body).Decode(&p)
+	// The limit applies to the decompressed page: a small response can grow without end.
+	return p, json.NewDecoder(io.LimitReader(res.Body, maxPageBytes)).Decode(&p)
 }
--- a/internal/provider/report/report.go
+++ b/internal/provider/report/report.go
@@ -25,6 +25,9 @@
 // PathPrefix is the URL path under which windows are reported, followed by the window's ID.
 const PathPrefix = "/usage/windows/"
 
+// maxReportBytes limits the size of a report that is read back.
+const maxReportBytes = 32 << 20
+
 // maxDetailBytes limits the part of a response body that is read for an error.
 const maxDetailBytes = 64 << 10
 
@@ -143,7 +146,7 @@
 		return Report{}, false, &UnconfirmedError{id, fmt.Errorf("status %d", res.StatusCode)}
 	}
 	var r Report
-	if err := json.NewDecoder(res.Body).Decode(&r); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxReportBytes)).Decode(&r); err != nil {
 		return Report{}, false, &UnconfirmedError{id, err}
 	}
 	return r, true, nil
--- a/internal/provider/store/client.go
+++ b/internal/provider/store/client.go
@@ -117,15 +117,22 @@
 	}
 }
 
+const (
+	// maxResponseBytes bounds a response, which is a page of objects at most, and maxHeaderBytes its header.
+	maxResponseBytes = 32 << 20
+	maxHeaderBytes   = 64 << 10
+)
+
 // NewClient returns a client of the platform's store with the base URL base, such as "http://10.0.0.2:6443".
 func NewClient(base string, opts ...Option) *Client {
 	c := &Client{
 		baseURL: strings.TrimSuffix(base, "/"),
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-			MaxIdleConnsPerHost:   32,
-			IdleConnTimeout:       time.Minute,
-			ResponseHeaderTimeout: 10 * time.Second,
+			DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost:    32,
+			IdleConnTimeout:        time.Minute,
+			ResponseHeaderTimeout:  10 * time.Second,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 	}
 	for _, o := range opts {
@@ -239,7 +246,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxResponseBytes)).Decode(out); err != nil {
 		return &Error{Reason: Unavailable, Kind: kind, Name: name, Cause: err}
 	}
 	return nil
--- a/internal/usage/servercounts/servercounts.go
+++ b/internal/usage/servercounts/servercounts.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -18,6 +19,9 @@
 // countsPath is the URL path under which backend servers return their counts by request id.
 const countsPath = "/counts"
 
+// maxCountsBytes limits the counts that are read from a server.
+const maxCountsBytes = 64 << 20
+
 // ReadError is returned if the counts of a backend server cannot be read.
 type ReadError struct {
 	Server string
@@ -69,7 +73,7 @@
 		return nil, &ReadError{server, fmt.Errorf("status %d", res.StatusCode)}
 	}
 	var counts map[string]tokenCount
-	if err := json.NewDecoder(res.Body).Decode(&counts); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxCountsBytes)).Decode(&counts); err != nil {
 		return nil, &ReadError{server, err}
 	}
 	return filterCounts(counts, prefix), nil
