supply, edgehost: servers are ordered sooner at the first start, and an order not repeated during boot

An order was sent again after 3 s although its servers take 4 s to boot.

Change: seeds, of which one becomes the first holder of the duties lease, read the store at once. An order is repeated 3 s after the boot time (TestOrderIsNotRepeatedDuringBoot fails on the code before).

--- a/internal/capacity/supply/supply.go
+++ b/internal/capacity/supply/supply.go
@@ -43,8 +43,9 @@
 	loadWarmup   = 10 * time.Second
 	// rejectionBackoff is how long no order for a group is sent after one was rejected.
 	rejectionBackoff = 3 * time.Second
-	// resendAfter is the time after which an order is sent again if its servers have not appeared.
-	resendAfter = 3 * time.Second
+	// resendMargin is how long after their boot time an order is sent again if its servers have not appeared. They write
+	// their entries at a heartbeat.
+	resendMargin = 3 * time.Second
 )
 
 // ServerGroup identifies the regular or the spot servers of a service in an availability zone.
@@ -114,9 +115,9 @@
 		}
 		regular, spot := p.target(now, s, z, servers, load[z])
 		if s.Scaling.SpotPrice > 0 {
-			out = p.appendOrder(now, out, ServerGroup{s.Name, z, true}, spot, countServers(servers, s.Name, z, true))
+			out = p.appendOrder(now, out, s, ServerGroup{s.Name, z, true}, spot, countServers(servers, s.Name, z, true))
 		}
-		out = p.appendOrder(now, out, ServerGroup{s.Name, z, false}, regular, countServers(servers, s.Name, z, false))
+		out = p.appendOrder(now, out, s, ServerGroup{s.Name, z, false}, regular, countServers(servers, s.Name, z, false))
 	}
 	return out
 }
@@ -183,7 +184,7 @@
 
 // appendOrder appends an order for want servers if it changes the last one, or if the servers of that have not
 // appeared.
-func (p *Planner) appendOrder(now time.Time, orders []Order, group ServerGroup, want, has int) []Order {
+func (p *Planner) appendOrder(now time.Time, orders []Order, svc *route.Service, group ServerGroup, want, has int) []Order {
 	g := p.groups[group]
 	if g == nil {
 		g = &groupState{confirmed: -1}
@@ -192,7 +193,7 @@
 	switch {
 	case now.Sub(g.rejectedAt) < rejectionBackoff, !g.confirmedAt.IsZero() && now.Sub(g.confirmedAt) < minOrderInterval:
 		return orders
-	case g.confirmed == want && (has >= want || now.Sub(g.confirmedAt) < resendAfter):
+	case g.confirmed == want && (has >= want || now.Sub(g.confirmedAt) < svc.Scaling.BootTime+resendMargin):
 		return orders
 	case g.confirmed < 0 && want == has:
 		// There was no order yet, and the group has the wanted number already.
--- a/internal/capacity/supply/supply_test.go
+++ b/internal/capacity/supply/supply_test.go
@@ -141,6 +141,29 @@
 	})
 }
 
+// TestOrderIsNotRepeatedDuringBoot guards against an order that is sent again while its servers start: each call to the
+// platform is paid for.
+func TestOrderIsNotRepeatedDuringBoot(t *testing.T) {
+	const bootTime = 4 * time.Second
+	p := supply.New()
+	svc := &route.Service{Name: "pool", Scaling: &route.Scaling{Min: 1, Max: 60, BootTime: bootTime, SpotPrice: 0.2, Prices: map[string]float64{"a": 1}}}
+	var sentAt []time.Duration
+	for at := time.Duration(0); at < 20*time.Second; at += 250 * time.Millisecond {
+		for _, o := range p.Plan(start.Add(at), svc, nil, nil) {
+			p.Confirmed(start.Add(at), o)
+			if o.Spot {
+				sentAt = append(sentAt, at)
+			}
+		}
+	}
+	if len(sentAt) < 2 {
+		t.Fatalf("orders at %v: an order whose servers never appear is not repeated", sentAt)
+	}
+	if gap := sentAt[1] - sentAt[0]; gap <= bootTime+2*time.Second {
+		t.Fatalf("an order is repeated after %s, while its servers start", gap)
+	}
+}
+
 func TestNoScaling(t *testing.T) {
 	if got := supply.New().Plan(start, &route.Service{Name: "app"}, nil, nil); got != nil {
 		t.Fatalf("orders %v for a service without scaling, want none", got)
--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -261,7 +262,8 @@
 // others.
 func (h *Host) whenFleetKnown(run func(context.Context, chan<- error)) func(context.Context, chan<- error) {
 	return func(ctx context.Context, done chan<- error) {
-		if h.cfg.FirstStart {
+		// Seeds do not wait: one of them becomes the first holder of the duties lease and orders servers.
+		if h.cfg.FirstStart && !slices.Contains(h.cfg.Seeds, h.cfg.IP) {
 			sleep(ctx, firstPacketsTime)
 			h.awaitDiscovery(ctx)
 		}
