edgehost: log and measure for how long the configuration has been out of date

The logs could not tell whether a host with an old configuration had not heard of a newer one, or had heard of it and waited, nor whether a new one came from the store or from a neighbour. TableInForce has Direct and BehindFor now, and two gauges give the version in force and the time since another host first reported a newer one. The decision itself is as before.

--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -153,7 +153,7 @@
 	tableSource, serversSource := feed.NewSource(p.Store, h.neighbours, h.logNeighbourFailure), feed.NewSource(p.Store, h.neighbours, h.logNeighbourFailure)
 	h.tableReflector = reflector.New(tableSource, p.Kinds.Table, cfg.ApplyTimeout, relistInterval, func(u reflector.Update) {
 		h.feed.Apply(p.Kinds.Table, u, tableSource.Direct(), time.Now())
-		h.applyTableUpdate(u)
+		h.applyTableUpdate(u, tableSource.Direct())
 	})
 	h.serversReflector = reflector.New(serversSource, p.Kinds.Servers, cfg.ApplyTimeout, relistInterval, func(u reflector.Update) {
 		h.feed.Apply(p.Kinds.Servers, u, serversSource.Direct(), time.Now())
@@ -320,6 +320,7 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	h.proxy.WriteMetrics(w)
 	h.logs.WriteMetrics(w)
+	h.writeTableMetrics(w)
 	metrics.WritePrometheus(w, false)
 }
 
--- a/internal/entry/edgehost/watch.go
+++ b/internal/entry/edgehost/watch.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"shallotramp/internal/capacity/supply"
 	"shallotramp/internal/fleet/backend"
 	"shallotramp/internal/provider/reflector"
@@ -11,8 +14,9 @@
 	"shallotramp/internal/traffic/dispatch"
 )
 
-// applyTableUpdate installs a new routing table from an update of the store.
-func (h *Host) applyTableUpdate(u reflector.Update) {
+// applyTableUpdate installs a new routing table from an update of the store. The parameter direct reports whether the
+// update came from the store itself.
+func (h *Host) applyTableUpdate(u reflector.Update, direct bool) {
 	if !h.checkUpdate("Table", u) {
 		return
 	}
@@ -28,10 +32,12 @@
 		if old := h.proxy.Table(); old != nil && old.Version >= t.Version {
 			return
 		}
+		behind := h.tableBehindFor(time.Now())
 		h.proxy.SetTable(t)
 		h.loop.Apply(func(now time.Time) []dispatch.Effect { return h.policy.Configure(now, t) })
 		h.log.Info().Str("Event", "TableInForce").Int64("Version", t.Version).Int("Routes", t.Len()).
-			Str("StoreVersion", o.Version).Dur("Age", time.Since(u.RequestedAt)).Send()
+			Str("StoreVersion", o.Version).Dur("Age", time.Since(u.RequestedAt)).
+			Bool("Direct", direct).Dur("BehindFor", behind).Send()
 	}
 	for _, o := range u.Objects {
 		apply(o)
@@ -43,6 +49,24 @@
 	}
 }
 
+// tableBehindFor returns how long other hosts have had a newer routing table than this host, or 0.
+func (h *Host) tableBehindFor(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t := h.proxy.Table(); t == nil || h.staleness.newerTable <= t.Version {
+		return 0
+	}
+	return now.Sub(h.staleness.newerTableSince)
+}
+
+// writeTableMetrics writes the version of the routing table in force and for how long it has been out of date.
+func (h *Host) writeTableMetrics(w io.Writer) {
+	if t := h.proxy.Table(); t != nil {
+		metrics.WriteGaugeUint64(w, "shallotramp_table_version", uint64(t.Version))
+		metrics.WriteGaugeFloat64(w, "shallotramp_table_behind_seconds", h.tableBehindFor(time.Now()).Seconds())
+	}
+}
+
 // checkUpdate reports whether the update holds data, and not a failed call. It logs when the store becomes unreachable
 // and when it is reachable again.
 func (h *Host) checkUpdate(what string, u reflector.Update) bool {
