edgehost: a series of configurations does not postpone the reading of the newest

Callers were refused with 404 as an older version of the configuration says, 2.3 s after the newer one was acknowledged; the bound is 2 s.

Cause: a host that hears of a newer version waits half a second for its own watch before it reads the store itself. It kept only the last version heard and when that was first heard. Each report of a different one, newer or older, started the wait again. In a series of changes, or with hosts that report different versions, the wait never ended.

Change: each newer version keeps the time of its first report until it is in force. The wait counts from the oldest of them.

--- a/internal/entry/edgehost/gossip.go
+++ b/internal/entry/edgehost/gossip.go
@@ -304,10 +304,10 @@
 	// behindSince is when another host first reported a newer list, and relistedAt when this host last read the list
 	// from the store for that reason.
 	behindSince, relistedAt time.Time
-	// newerTable is a newer version of the routing table that another host first reported at newerTableSince.
-	// tableRelistedAt is when this host last read the table from the store for that reason.
-	newerTable                       int64
-	newerTableSince, tableRelistedAt time.Time
+	// tableLag holds the newer versions of the routing table. tableRelistedAt is when this host last read the table from
+	// the store because of them.
+	tableLag        versionLag
+	tableRelistedAt time.Time
 }
 
 // checkServersStale reads the server list from the store again if another host's list has changed later and stays
@@ -339,12 +339,10 @@
 	if t == nil || p.GetTableVersion() <= t.Version {
 		return
 	}
-	switch {
-	case d.newerTable != p.GetTableVersion():
-		d.newerTable, d.newerTableSince = p.GetTableVersion(), now
-	case now.Sub(d.newerTableSince) > stalenessDelay && now.Sub(d.tableRelistedAt) > stalenessDelay:
+	d.tableLag.report(p.GetTableVersion(), now)
+	if d.tableLag.behindFor(t.Version, now) > stalenessDelay && now.Sub(d.tableRelistedAt) > stalenessDelay {
 		d.tableRelistedAt = now
-		h.log.Info().Str("Event", "TableBehind").Int64("Version", t.Version).Int64("Heard", d.newerTable).Str("From", m.Host).Send()
+		h.log.Info().Str("Event", "TableBehind").Int64("Version", t.Version).Int64("Heard", d.tableLag.newest()).Str("From", m.Host).Send()
 		h.tableReflector.Refresh()
 	}
 }
--- a/internal/entry/edgehost/watch.go
+++ b/internal/entry/edgehost/watch.go
@@ -53,10 +53,11 @@
 func (h *Host) tableBehindFor(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if t := h.proxy.Table(); t == nil || h.staleness.newerTable <= t.Version {
+	t := h.proxy.Table()
+	if t == nil {
 		return 0
 	}
-	return now.Sub(h.staleness.newerTableSince)
+	return h.staleness.tableLag.behindFor(t.Version, now)
 }
 
 // writeTableMetrics writes the version of the routing table in force and for how long it has been out of date.
