feed: a neighbour that loses the store answers its followers at once

A host that reads the configuration from a neighbour could be 4.7 s late: the neighbour's watch fails 2.7 s after the loss at the latest, but a request of the follower that began just before waited for its full 2 s.

Cause: a request checked the age of the copy before and after its wait, not during it, and a loss did not wake it.

Change: the wait ends when the neighbour loses the store, follows another host, or its copy is too old.

TestFollowerOfSilentNeighbour failed (503 after 2.5 s and 4.5 s, want 1 s and 3 s) and passes.

--- a/internal/provider/feed/feed.go
+++ b/internal/provider/feed/feed.go
@@ -56,7 +56,7 @@
 	// confirmedAt is the time of the last update from the store itself; zero if a later call failed or a later update
 	// came from another host.
 	confirmedAt time.Time
-	// changed is closed and replaced when version changes.
+	// changed is closed and replaced when version changes and when the copy is no longer current.
 	changed chan struct{}
 }
 
@@ -97,6 +97,7 @@
 	k := f.copyOf(kind)
 	if u.Err != nil {
 		k.confirmedAt = time.Time{}
+		k.wake()
 		return
 	}
 	version, err := strconv.ParseInt(u.Version, 10, 64)
@@ -107,6 +108,7 @@
 		k.confirmedAt = now
 	} else {
 		k.confirmedAt = time.Time{}
+		k.wake()
 	}
 	oldVersion := k.version
 	if u.Full {
@@ -121,11 +123,16 @@
 		k.log = append([]loggedChange(nil), k.log[len(k.log)-maxLoggedChanges:]...)
 	}
 	if k.version != oldVersion {
-		close(k.changed)
-		k.changed = make(chan struct{})
+		k.wake()
 	}
 }
 
+// wake makes the requests that wait look again.
+func (k *kindCopy) wake() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
 // replace logs the differences between the copy and a complete list as changes.
 func (k *kindCopy) replace(objects []store.Object, version int64) {
 	if k.version == 0 {
@@ -173,19 +180,24 @@
 		http.Error(w, "the query needs a version as After and a duration as Wait; correct it", http.StatusBadRequest)
 		return
 	}
-	page, status, changed := f.changes(kind, after)
-	if status == http.StatusOK && len(page.Events) == 0 {
-		t := time.NewTimer(min(wait, maxFollowerWait))
-		defer t.Stop()
+	end := time.Now().Add(min(wait, maxFollowerWait))
+	for {
+		page, status, next := f.changes(kind, after)
+		left := time.Until(end)
+		if status != http.StatusOK || len(page.Events) > 0 || left <= 0 {
+			f.writePage(w, page, status)
+			return
+		}
+		t := time.NewTimer(min(left, next.freshFor))
 		select {
-		case <-changed:
+		case <-next.changed:
 		case <-t.C:
 		case <-r.Context().Done():
+			t.Stop()
 			return
 		}
-		page, status, _ = f.changes(kind, after)
+		t.Stop()
 	}
-	f.writePage(w, page, status)
 }
 
 // list returns all objects of a kind and the HTTP status. It returns no objects if the copy is empty or stale.
@@ -196,7 +208,7 @@
 	switch {
 	case k.version == 0:
 		return Page{}, http.StatusTooEarly
-	case !f.isFresh(k):
+	case f.freshFor(k) <= 0:
 		return Page{}, http.StatusServiceUnavailable
 	}
 	p := Page{Version: strconv.FormatInt(k.version, 10)}
@@ -206,20 +218,30 @@
 	return p, http.StatusOK
 }
 
-func (f *Feed) isFresh(k *kindCopy) bool {
-	return time.Since(k.confirmedAt) < f.watchWait+freshnessMargin
+// freshFor returns how much longer a copy counts as current if the store stays silent.
+func (f *Feed) freshFor(k *kindCopy) time.Duration {
+	return f.watchWait + freshnessMargin - time.Since(k.confirmedAt)
+}
+
+// nextChange says when changes may have another result.
+type nextChange struct {
+	// changed is closed when the copy changes or the store is lost.
+	changed <-chan struct{}
+	// freshFor is how much longer the copy counts as current if the store stays silent.
+	freshFor time.Duration
 }
 
-// changes returns the changes to a kind after a version, the HTTP status, and a channel that is closed at the next change.
-func (f *Feed) changes(kind string, after int64) (Page, int, <-chan struct{}) {
+// changes returns the changes to a kind after a version, the HTTP status, and when to look again.
+func (f *Feed) changes(kind string, after int64) (Page, int, nextChange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.copyOf(kind)
+	fresh := f.freshFor(k)
 	switch {
-	case !f.isFresh(k):
-		return Page{}, http.StatusServiceUnavailable, nil
+	case fresh <= 0:
+		return Page{}, http.StatusServiceUnavailable, nextChange{}
 	case after < k.logStart:
-		return Page{}, http.StatusGone, nil
+		return Page{}, http.StatusGone, nextChange{}
 	}
 	// A follower that has read from the store itself may have a newer version than this host. It waits for changes
 	// after its own version.
@@ -229,7 +251,7 @@
 			p.Events = append(p.Events, c.event)
 		}
 	}
-	return p, http.StatusOK, k.changed
+	return p, http.StatusOK, nextChange{k.changed, fresh}
 }
 
 func (f *Feed) writePage(w http.ResponseWriter, p Page, status int) {
--- a/internal/provider/feed/feed_test.go
+++ b/internal/provider/feed/feed_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -183,3 +184,36 @@
 		}
 	})
 }
+
+// TestFollowerOfSilentNeighbour guards against a follower that waits at a neighbour which has lost the store, or has not
+// heard from it for too long, while the store has newer objects.
+func TestFollowerOfSilentNeighbour(t *testing.T) {
+	const (
+		watchWait = 2 * time.Second
+		freshFor  = watchWait + time.Second
+	)
+	tests := map[string]struct {
+		// requestAt is when the follower asks after the neighbour's last answer from the store, lostAt when the
+		// neighbour notices that it has lost the store, and answered the latest time of the response.
+		requestAt, lostAt, answered time.Duration
+	}{
+		"the neighbour's watch fails while the follower waits":      {500 * time.Millisecond, time.Second, time.Second},
+		"the neighbour's copy becomes stale while a follower waits": {2500 * time.Millisecond, 10 * time.Second, freshFor},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, start := feed.New(watchWait), time.Now()
+				f.Apply("config", reflector.Update{Full: true, Objects: []store.Object{object("main", "4")}, Version: "5"}, true, start)
+				lost := time.AfterFunc(test.lostAt, func() { f.Apply("config", reflector.Update{Err: errors.New("silent")}, true, time.Now()) })
+				defer lost.Stop()
+				time.Sleep(test.requestAt)
+				w := httptest.NewRecorder()
+				f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, feed.PathPrefix+"config?After=5&Wait=2s", nil))
+				if got := time.Since(start); w.Code != http.StatusServiceUnavailable || got > test.answered {
+					t.Errorf("status %d after %s, want %d within %s", w.Code, got, http.StatusServiceUnavailable, test.answered)
+				}
+			})
+		})
+	}
+}
