feed, edgehost: a host that the store does not answer reads from other hosts

A host that hears that its neighbour is behind reads only from the store until that answers. A host that reads the store for others, and that the store turns away while it serves the rest, had nobody to ask at all.

Their copies must be current; a copy of a copy is not served.

TestStoreAnswersOthersOnly: before, List returned the store's error.

--- a/internal/entry/edgehost/gossip.go
+++ b/internal/entry/edgehost/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -40,6 +41,8 @@
 	// list.
 	stalenessDelay    = 500 * time.Millisecond
 	relistMinInterval = 2 * time.Second
+	// maxOthers bounds the hosts that are asked for objects while the store does not answer.
+	maxOthers = 4
 	// perMille converts the demand for a service, in busy servers, to the thousandths of the packet.
 	perMille = 1000
 )
@@ -440,6 +443,39 @@
 	return neighboursFor(h.cfg.IP, members, h.cfg.FleetPort)
 }
 
+// hostsWithNewestTable returns hosts from which this one reads the objects of the store while the store does not answer
+// it. Hosts that report the newest routing table come first, as the store answers them or their neighbours.
+func (h *Host) hostsWithNewestTable() []netip.AddrPort {
+	now := time.Now()
+	var members []gossip.Member
+	for _, m := range h.gossip.Members(now) {
+		if !m.Leaving {
+			members = append(members, m)
+		}
+	}
+	return newestTableFirst(h.cfg.Zone, members, h.cfg.FleetPort)
+}
+
+// newestTableFirst returns up to maxOthers addresses of members, those with the newest routing table first, and of
+// these the ones in the given availability zone. The order of equal ones is random, which spreads the load.
+func newestTableFirst(zone string, members []gossip.Member, port uint16) []netip.AddrPort {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	slices.SortStableFunc(members, func(a, b gossip.Member) int {
+		inZone := func(m gossip.Member) int {
+			if m.Zone == zone {
+				return 1
+			}
+			return 0
+		}
+		return cmp.Or(cmp.Compare(b.TableVersion, a.TableVersion), inZone(b)-inZone(a))
+	})
+	out := make([]netip.AddrPort, 0, maxOthers)
+	for _, m := range members[:min(maxOthers, len(members))] {
+		out = append(out, netip.AddrPortFrom(m.Addr, port))
+	}
+	return out
+}
+
 // neighboursFor returns the neighbours of self, or nil if self is a watcher and reads the store itself. All hosts
 // of a zone choose the same watchers, but start with different ones to spread the load.
 func neighboursFor(self netip.Addr, members []gossip.Member, port uint16) []netip.AddrPort {
--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -150,7 +150,10 @@
 	h.proxy = edge.New(cfg.Zone, p.Codec, h.loop, edge.WithLog(logs.Requests), edge.WithUsage(usageCounter{h}))
 	h.gossip = gossip.New(gossip.Self{Host: h.processID, Zone: cfg.Zone, Addr: cfg.IP, Port: cfg.FleetPort, Seeds: cfg.Seeds, LinkMbps: cfg.LinkMbps}, h.fillPacket, h.handlePacket, gossip.WithErrorHandler(h.logGossipFailure))
 	h.feed = feed.New(cfg.ApplyTimeout)
-	tableSource, serversSource := feed.NewSource(p.Store, h.neighbours, h.logNeighbourFailure), feed.NewSource(p.Store, h.neighbours, h.logNeighbourFailure)
+	newSource := func() *feed.Source {
+		return feed.NewSource(p.Store, h.neighbours, h.logNeighbourFailure, feed.WithOthers(h.hostsWithNewestTable))
+	}
+	tableSource, serversSource := newSource(), newSource()
 	h.tableReflector = reflector.New(tableSource, p.Kinds.Table, cfg.ApplyTimeout, relistInterval, func(u reflector.Update) {
 		h.feed.Apply(p.Kinds.Table, u, tableSource.Direct(), time.Now())
 		h.applyTableUpdate(u, tableSource.Direct())
--- a/internal/provider/feed/feed_test.go
+++ b/internal/provider/feed/feed_test.go
@@ -217,3 +217,61 @@
 		})
 	}
 }
+
+// deadStore is a store that does not answer.
+type deadStore struct{ calls int }
+
+func (s *deadStore) List(context.Context, string) ([]store.Object, string, error) {
+	s.calls++
+	return nil, "", &store.Error{Reason: store.Unavailable}
+}
+
+func (s *deadStore) Changes(context.Context, string, string, time.Duration) ([]store.Event, string, error) {
+	s.calls++
+	return nil, "", &store.Error{Reason: store.Unavailable}
+}
+
+// TestStoreAnswersOthersOnly guards against a host that keeps old objects while the store turns it away and serves the
+// other hosts.
+func TestStoreAnswersOthersOnly(t *testing.T) {
+	ctx := context.Background()
+	convey.Convey("A host that the store turns away", t, func() {
+		f := feed.New(2 * time.Second)
+		srv := httptest.NewServer(f)
+		defer srv.Close()
+		other := netip.MustParseAddrPort(strings.TrimPrefix(srv.URL, "http://"))
+		st := &deadStore{}
+		none := func() []netip.AddrPort { return nil }
+		src := feed.NewSource(st, none, func(netip.AddrPort, error) {}, feed.WithOthers(func() []netip.AddrPort { return []netip.AddrPort{other} }))
+		f.Apply("servers", reflector.Update{Full: true, Objects: []store.Object{object("i-1", "4")}, Version: "5"}, true, time.Now())
+		list := func() {
+			objects, version, err := src.List(ctx, "servers")
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(version, convey.ShouldEqual, "5")
+			convey.So(len(objects), convey.ShouldEqual, 1)
+			convey.So(src.Direct(), convey.ShouldBeFalse)
+		}
+		convey.Convey("lists the objects of another host", func() {
+			list()
+			convey.So(st.calls, convey.ShouldEqual, 1)
+			convey.Convey("and follows its changes without further calls to the store for a while", func() {
+				f.Apply("servers", reflector.Update{Version: "6", Events: []store.Event{{Type: store.Deleted, Object: object("i-1", "6")}}}, true, time.Now())
+				events, version, err := src.Changes(ctx, "servers", "5", time.Second)
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(version, convey.ShouldEqual, "6")
+				convey.So(len(events), convey.ShouldEqual, 1)
+				convey.So(st.calls, convey.ShouldEqual, 1)
+			})
+		})
+		convey.Convey("does so also if its neighbours are known to be behind", func() {
+			src.MarkStale()
+			list()
+		})
+		convey.Convey("reports the store's failure if the other host has lost the store too", func() {
+			f.Apply("servers", reflector.Update{Err: errors.New("down")}, true, time.Now())
+			_, _, err := src.List(ctx, "servers")
+			convey.So(store.Failed(err, store.Unavailable), convey.ShouldBeTrue)
+			convey.So(src.Direct(), convey.ShouldBeTrue)
+		})
+	})
+}
--- a/internal/provider/feed/source.go
+++ b/internal/provider/feed/source.go
@@ -37,12 +37,16 @@
 	store reflector.Source
 	// neighbours returns the hosts to ask, in this order. It returns none if this host must read from the store itself.
 	neighbours func() []netip.AddrPort
+	// others returns further hosts to ask, in this order, while the store does not answer this host.
+	others func() []netip.AddrPort
 	// onFailure is called when a request to a neighbour fails.
 	onFailure func(n netip.AddrPort, err error)
 	http      *http.Client
 
 	mu       sync.Mutex
 	failedAt map[netip.AddrPort]time.Time
+	// storeFailedAt is when a call to the store failed, or zero if a later one succeeded.
+	storeFailedAt time.Time
 	// notReadyLists counts the lists that were requested while the neighbours had none yet.
 	notReadyLists int
 	// stale is set while the neighbours' copies are known to be behind the store.
@@ -53,17 +57,28 @@
 
 var _ reflector.Source = (*Source)(nil)
 
+// Option configures a [Source].
+type Option func(*Source)
+
+// WithOthers makes the source read from the hosts that others returns while the store does not answer.
+func WithOthers(others func() []netip.AddrPort) Option { return func(s *Source) { s.others = others } }
+
 // NewSource returns a Source that reads from the hosts that neighbours returns, or from st. It calls onFailure when a
 // request to a neighbour fails.
-func NewSource(st reflector.Source, neighbours func() []netip.AddrPort, onFailure func(n netip.AddrPort, err error)) *Source {
-	return &Source{
+func NewSource(st reflector.Source, neighbours func() []netip.AddrPort, onFailure func(n netip.AddrPort, err error), opts ...Option) *Source {
+	s := &Source{
 		store: st, neighbours: neighbours, onFailure: onFailure, failedAt: map[netip.AddrPort]time.Time{},
+		others: func() []netip.AddrPort { return nil },
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: listTimeout / 2}).DialContext,
 			MaxIdleConnsPerHost:    2,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // Direct reports whether the last response came from the store itself.
@@ -92,14 +107,44 @@
 			return nil, "", err
 		}
 	}
+	if s.storeRecentlyFailed() {
+		if p, err := s.ask(ctx, s.others(), listTimeout, kind, nil); err == nil {
+			return p.Objects, p.Version, nil
+		}
+	}
 	s.setDirect(true)
 	objects, version, err := s.store.List(ctx, kind)
-	if err == nil {
-		s.mu.Lock()
-		s.stale = false
-		s.mu.Unlock()
+	s.recordStoreCall(ctx, err)
+	if err != nil {
+		if p, otherErr := s.ask(ctx, s.others(), listTimeout, kind, nil); otherErr == nil {
+			return p.Objects, p.Version, nil
+		}
+		s.setDirect(true)
+		return nil, "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = false
+	return objects, version, nil
+}
+
+func (s *Source) storeRecentlyFailed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.storeFailedAt) < failureBackoff
+}
+
+// recordStoreCall records whether the store answered. A call that the caller ended says nothing, and neither does one
+// for changes that the store no longer has.
+func (s *Source) recordStoreCall(ctx context.Context, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil, store.Failed(err, store.Expired):
+		s.storeFailedAt = time.Time{}
+	case ctx.Err() == nil:
+		s.storeFailedAt = time.Now()
 	}
-	return objects, version, err
 }
 
 // shouldRetryNeighbours reports whether to request the list from the neighbours again, as they may have one soon. The
@@ -123,17 +168,20 @@
 
 // Changes implements [reflector.Source].
 func (s *Source) Changes(ctx context.Context, kind, version string, wait time.Duration) ([]store.Event, string, error) {
-	if s.isStale() {
-		return s.changesFromStore(ctx, kind, version, wait)
+	query := url.Values{"After": {version}, "Wait": {wait.String()}}
+	if !s.isStale() {
+		p, err := s.askNeighbours(ctx, wait+waitMargin, kind, query)
+		if err == nil || store.Failed(err, store.Expired) {
+			return p.Events, p.Version, err
+		}
 	}
-	p, err := s.askNeighbours(ctx, wait+waitMargin, kind, url.Values{"After": {version}, "Wait": {wait.String()}})
-	switch {
-	case err == nil:
-		return p.Events, p.Version, nil
-	case store.Failed(err, store.Expired):
-		return nil, "", err
+	if s.storeRecentlyFailed() {
+		p, err := s.ask(ctx, s.others(), wait+waitMargin, kind, query)
+		if err == nil || store.Failed(err, store.Expired) {
+			return p.Events, p.Version, err
+		}
 	}
-	return s.store.Changes(ctx, kind, version, wait)
+	return s.changesFromStore(ctx, kind, version, wait)
 }
 
 // changesFromStore reads the changes from the store itself. Once the store has returned a change, the neighbours are no
@@ -141,6 +189,7 @@
 func (s *Source) changesFromStore(ctx context.Context, kind, version string, wait time.Duration) ([]store.Event, string, error) {
 	s.setDirect(true)
 	events, at, err := s.store.Changes(ctx, kind, version, wait)
+	s.recordStoreCall(ctx, err)
 	if err == nil && len(events) > 0 {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -149,10 +198,14 @@
 	return events, at, err
 }
 
-// askNeighbours returns the response of the first neighbour that has objects and has not failed recently.
 func (s *Source) askNeighbours(ctx context.Context, timeout time.Duration, kind string, query url.Values) (Page, error) {
+	return s.ask(ctx, s.neighbours(), timeout, kind, query)
+}
+
+// ask returns the response of the first of the hosts that has objects and has not failed recently.
+func (s *Source) ask(ctx context.Context, hosts []netip.AddrPort, timeout time.Duration, kind string, query url.Values) (Page, error) {
 	reason := errNoNeighbour
-	for _, n := range s.neighbours() {
+	for _, n := range hosts {
 		if s.recentlyFailed(n) {
 			continue
 		}
