transport: connections that fell silent together are not tried one after the other

Cause: connections to the store can fall silent without a reset. A call on one of them times out, but the idle ones stayed in the pool. The next calls took these, one time-out each: 0.9 s on the edge path, up to 5 s on the serve path, which may keep 32 of them. A configuration that must be in force within 2 s could be later than that after the disruption had ended.

Change: a call that times out closes the idle connections of its client.

--- a/internal/provider/feed/source.go
+++ b/internal/provider/feed/source.go
@@ -15,6 +15,7 @@
 
 	"shallotramp/internal/provider/reflector"
 	"shallotramp/internal/provider/store"
+	"shallotramp/internal/provider/transport"
 )
 
 const (
@@ -69,11 +70,11 @@
 	s := &Source{
 		store: st, neighbours: neighbours, onFailure: onFailure, failedAt: map[netip.AddrPort]time.Time{},
 		others: func() []netip.AddrPort { return nil },
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: transport.Transport{Transport: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: listTimeout / 2}).DialContext,
 			MaxIdleConnsPerHost:    2,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		}}},
 	}
 	for _, o := range opts {
 		o(s)
--- a/internal/provider/ordering/ordering.go
+++ b/internal/provider/ordering/ordering.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"shallotramp/internal/capacity/order"
+	"shallotramp/internal/provider/transport"
 )
 
 // FenceHeader is the header with the sender's fencing number.
@@ -77,9 +78,9 @@
 
 // NewClient returns a Client that calls resolve for the base URL of a receiver.
 func NewClient(resolve func(receiver string) (base string, ok bool)) *Client {
-	return &Client{resolve, &http.Client{Transport: &http.Transport{
+	return &Client{resolve, &http.Client{Transport: transport.Transport{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}}}
+	}}}}
 }
 
 // Send sends the intent's order once, until ctx ends. The detail is the receiver's response or the error.
--- a/internal/provider/report/report.go
+++ b/internal/provider/report/report.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"shallotramp/internal/provider/transport"
 	"shallotramp/internal/usage/meter"
 	"shallotramp/internal/usage/window"
 )
@@ -93,9 +94,9 @@
 
 // NewClient returns a client of the platform's report interface at base.
 func NewClient(base string) *Client {
-	return &Client{strings.TrimSuffix(base, "/"), &http.Client{Transport: &http.Transport{
+	return &Client{strings.TrimSuffix(base, "/"), &http.Client{Transport: transport.Transport{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-	}}}
+	}}}}
 }
 
 // Send sends the report of a window once, until ctx ends. It returns nil if the platform has accepted the report, now
--- a/internal/provider/store/client.go
+++ b/internal/provider/store/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"shallotramp/internal/provider/transport"
 )
 
 // Conventions of the paths and bodies of the store's API. The fake of the platform uses them too.
@@ -111,7 +113,7 @@
 // WithRootCAs sets the root certificates with which the platform's certificate is verified.
 func WithRootCAs(pool *x509.CertPool) Option {
 	return func(c *Client) {
-		if t, ok := c.http.Transport.(*http.Transport); ok {
+		if t, ok := c.http.Transport.(transport.Transport); ok {
 			t.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 		}
 	}
@@ -127,13 +129,13 @@
 func NewClient(base string, opts ...Option) *Client {
 	c := &Client{
 		baseURL: strings.TrimSuffix(base, "/"),
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: transport.Transport{Transport: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 			MaxIdleConnsPerHost:    32,
 			IdleConnTimeout:        time.Minute,
 			ResponseHeaderTimeout:  10 * time.Second,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		}}},
 	}
 	for _, o := range opts {
 		o(c)
