relay, release: a series of releases does not postpone the adoption of all of them

Cause: a host that pulls a release from another host began again when it heard of a newer one. After a busy response it asked for chunks of a release that the others had replaced by then, or, if none had reported that number yet, waited for 2 s.

After a busy response the head is requested again, from a host with any newer release.

--- a/internal/fleet/relay/pull.go
+++ b/internal/fleet/relay/pull.go
@@ -36,10 +36,11 @@
 	adopting bool
 }
 
-// startPull starts to pull the release of p, unless a release is being adopted or a pull of one at least as new makes
-// progress. It keeps the chunks of the previous pull, for releases share chunks.
+// startPull starts to pull the release of p, unless a release is being adopted or a pull makes progress. A pull is not
+// replaced by that of a newer release: if releases come faster than one is transferred, none would be adopted. It keeps
+// the chunks of the previous pull, for releases share chunks.
 func (c *Core) startPull(now time.Time, p *peer) {
-	if c.pull != nil && (c.pull.adopting || now.Sub(c.pull.lastProgress) < pullTimeout && c.pull.number >= p.release) {
+	if c.pull != nil && (c.pull.adopting || now.Sub(c.pull.lastProgress) < pullTimeout) {
 		return
 	}
 	got := map[string][]byte{}
@@ -50,15 +51,16 @@
 	c.send(p, &wire.Envelope{Body: &wire.Envelope_HeadRequest{HeadRequest: &wire.HeadRequest{}}})
 }
 
-// continuePull requests chunks again after a busy response, and restarts a pull that makes no progress.
+// continuePull continues with another host after a busy response, and restarts a pull that makes no progress. It requests
+// the head again: a host may have a newer release by now and no longer the chunks of the earlier one.
 func (c *Core) continuePull(now time.Time) {
 	if c.pull == nil || c.pull.adopting {
 		return
 	}
 	if !c.pull.retryAt.IsZero() && !now.Before(c.pull.retryAt) {
 		c.pull.retryAt = time.Time{}
-		if p := c.peerWithRelease(c.pull.number); p != nil {
-			c.pull.from = p.id
+		if p := c.peerWithRelease(c.release + 1); p != nil {
+			c.pull.from, c.pull.head = p.id, nil
 			c.requestMissingChunks(p)
 		}
 		return
@@ -236,28 +238,26 @@
 	return ok
 }
 
-// compress returns the compressed chunk and caches it. Before it adds a chunk, it removes those that are no longer in
-// content.
-func (s *chunkServer) compress(digest string, content map[string][]byte) []byte {
+// compress returns the compressed chunk and caches it. Before it adds a chunk, it removes those that cache no longer has.
+func (s *chunkServer) compress(digest string, content []byte, cache *release.Cache) []byte {
 	if b, ok := s.compressed[digest]; ok {
 		return b
 	}
 	for d := range s.compressed {
-		if _, ok := content[d]; !ok {
+		if _, ok := cache.Chunk(d); !ok {
 			delete(s.compressed, d)
 			delete(s.servedAt, d)
 		}
 	}
-	s.compressed[digest] = Compress(content[digest])
+	s.compressed[digest] = Compress(content)
 	return s.compressed[digest]
 }
 
 func (c *Core) serveChunk(now time.Time, p *peer, m *wire.ChunkRequest) {
 	d := hex.EncodeToString(m.GetDigest())
-	_, cached := c.cache.Newest()
 	out := &wire.Chunk{Digest: m.GetDigest(), Busy: true}
-	if _, ok := cached[d]; ok && c.chunkServer.allow(d, now) {
-		out.Busy, out.Content = false, c.chunkServer.compress(d, cached)
+	if content, ok := c.cache.Chunk(d); ok && c.chunkServer.allow(d, now) {
+		out.Busy, out.Content = false, c.chunkServer.compress(d, content, c.cache)
 	}
 	c.send(p, &wire.Envelope{Body: &wire.Envelope_Chunk{Chunk: out}})
 }
