placement, edgehost: log the requests that servers ran when they crashed

The logs could not tell whether crashes were not recognised, or recognised and counted for nothing. ServerCrashed has the fingerprint, the shared parts of the prompt and whether the answer had begun; a counter goes with it. Decisions are as before.

--- a/internal/entry/edgehost/gossip.go
+++ b/internal/entry/edgehost/gossip.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,6 +61,7 @@
 	for _, x := range state.PartLocations {
 		kept = append(kept, recentPart{x, state.At})
 	}
+	h.logCrashes(state)
 	h.recentParts, h.policyState = kept, state
 	h.noteZoneParts(state.PartLocations, state.At)
 	for x, at := range h.zoneParts {
@@ -69,6 +71,31 @@
 	}
 }
 
+// logCrashes logs and counts the crashes of servers that this host has noticed since the last state. The caller holds
+// mu.
+func (h *Host) logCrashes(state placement.HostState) {
+	for _, c := range state.Crashes {
+		if !c.EndedAt.After(h.crashLoggedAt) {
+			continue
+		}
+		h.crashesSeen.Inc()
+		h.logs.Requests.Warn().Str("Event", "ServerCrashed").Str("Server", c.Server).Str("Fingerprint", strconv.FormatUint(c.Fingerprint, 16)).
+			Strs("SharedParts", formatParts(c.SharedParts)).Bool("Answered", c.Answered).Dur("Ran", c.EndedAt.Sub(c.StartedAt)).
+			Dur("Age", state.At.Sub(c.EndedAt)).Send()
+	}
+	if n := len(state.Crashes); n > 0 {
+		h.crashLoggedAt = state.Crashes[n-1].EndedAt
+	}
+}
+
+func formatParts(ids []uint64) []string {
+	out := make([]string, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, strconv.FormatUint(id, 16))
+	}
+	return out
+}
+
 // updateZoneState stores the state of the availability zone for summaries to other zones.
 func (h *Host) updateZoneState(state placement.HostState) {
 	h.mu.Lock()
--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -92,15 +92,17 @@
 	// processID is the name of the host and a random suffix, so that a restarted host counts as another process.
 	processID string
 
-	policy           *placement.Policy
-	loop             *dispatch.Loop
-	proxy            *edge.Proxy
-	gossip           *gossip.Endpoint
-	clock            *fleetclock.Clock
-	tally            *tally.Tally
-	leases           *lease.Manager
-	dutyLease        *lease.Lease
-	feed             *feed.Feed
+	policy    *placement.Policy
+	loop      *dispatch.Loop
+	proxy     *edge.Proxy
+	gossip    *gossip.Endpoint
+	clock     *fleetclock.Clock
+	tally     *tally.Tally
+	leases    *lease.Manager
+	dutyLease *lease.Lease
+	feed      *feed.Feed
+	// crashesSeen counts the requests of this host that ended with their server.
+	crashesSeen      *metrics.Counter
 	tableReflector   *reflector.Reflector
 	serversReflector *reflector.Reflector
 
@@ -124,6 +126,8 @@
 	staleness   staleness
 	policyState placement.HostState
 	recentParts []recentPart
+	// crashLoggedAt is the time of the last crash of a server that was logged.
+	crashLoggedAt time.Time
 	// zoneState is the state of the availability zone and zoneParts the placements of prompt parts by its hosts, both
 	// for summaries to other zones.
 	zoneState    placement.HostState
@@ -140,6 +144,7 @@
 		cfg: cfg, platform: p, log: logs.Process, logs: logs, processID: cfg.Host + "/" + uuid.NewString()[:8],
 		clock: fleetclock.New(time.Now(), fleetclock.SinceBoot), serverList: serverlist.New(), storeDown: map[string]bool{}, zoneParts: map[placement.PartLocation]time.Time{},
 	}
+	h.crashesSeen = metrics.GetOrCreateCounter("shallotramp_requests_crashed_total")
 	h.countsCompleteFrom = h.clock.Now().Add(warmUp)
 	h.servers.Store(&[]backend.Server{})
 	if cfg.UsageWindow > 0 {
--- a/internal/traffic/placement/crash.go
+++ b/internal/traffic/placement/crash.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"shallotramp/internal/traffic/request"
 )
 
 const (
@@ -33,6 +35,10 @@
 	Fingerprint        uint64
 	Server             string
 	StartedAt, EndedAt time.Time
+	// SharedParts are the IDs of the prompt's parts that other requests may share. Other hosts do not report them.
+	SharedParts []uint64
+	// Answered says that the answer had begun.
+	Answered bool
 }
 
 // crashTracker finds requests that crash the servers that run them, across hosts and resends. Without it, one
@@ -55,8 +61,23 @@
 // recordBroken records that the connection broke while a server ran e, as a possible crash.
 func (t *crashTracker) recordBroken(now time.Time, e *entry) {
 	if e.req.Fingerprint != 0 {
-		t.unconfirmed = append(t.unconfirmed, Crash{e.req.Fingerprint, e.server.info.ID, e.started, now})
+		t.unconfirmed = append(t.unconfirmed, Crash{
+			Fingerprint: e.req.Fingerprint, Server: e.server.info.ID, StartedAt: e.started, EndedAt: now,
+			SharedParts: sharedPartIDs(e.req.Parts), Answered: e.gotFirstToken,
+		})
+	}
+}
+
+// sharedPartIDs returns the IDs of the parts but the last, which belongs to one request or session only.
+func sharedPartIDs(parts []request.Part) []uint64 {
+	if len(parts) < 2 {
+		return nil
+	}
+	out := make([]uint64, 0, len(parts)-1)
+	for _, x := range parts[:len(parts)-1] {
+		out = append(out, x.ID)
 	}
+	return out
 }
 
 // recordAnswer drops possible crashes of a server that answered a request which started after them.
