suspect, placement, gossip: parts of prompts that crash servers are found and held

Cause: crashes were counted by the content of the whole request. These requests are not alike, so no count passed one. The new log lines show it: three crashes within 3 s, of three servers, each of another fingerprint and with the same shared part, on three hosts.

Change: crashes under requests whose answer had not begun are counted by the shared parts of the prompt. An answer clears a part of the crashes before it; parts that no server has answered explain a crash before the others do, and the part that explains most crashes explains them alone. A part is held after three crashes, after five if servers have answered it before. Hosts send each other crashes and answers, also those of others. A part that may be sound is tried again: one of two that always come together, and after 30 s one that servers have answered before.

--- a/internal/entry/edgehost/gossip.go
+++ b/internal/entry/edgehost/gossip.go
@@ -62,6 +62,7 @@
 		kept = append(kept, recentPart{x, state.At})
 	}
 	h.logCrashes(state)
+	h.logHeldParts(state)
 	h.recentParts, h.policyState = kept, state
 	h.noteZoneParts(state.PartLocations, state.At)
 	for x, at := range h.zoneParts {
@@ -88,6 +89,21 @@
 	}
 }
 
+// logHeldParts logs the parts of prompts because of which requests begin or cease to be refused. The caller holds mu.
+func (h *Host) logHeldParts(state placement.HostState) {
+	for _, part := range state.HeldParts {
+		if !slices.Contains(h.policyState.HeldParts, part) {
+			h.log.Warn().Str("Event", "PartHeld").Str("Part", strconv.FormatUint(part, 16)).Send()
+		}
+	}
+	for _, part := range h.policyState.HeldParts {
+		if !slices.Contains(state.HeldParts, part) {
+			h.log.Info().Str("Event", "PartReleased").Str("Part", strconv.FormatUint(part, 16)).Send()
+		}
+	}
+	h.heldParts.Set(float64(len(state.HeldParts)))
+}
+
 func formatParts(ids []uint64) []string {
 	out := make([]string, 0, len(ids))
 	for _, id := range ids {
@@ -238,6 +254,7 @@
 			BeganAgoMs: time.Since(c.StartedAt).Milliseconds(), EndedAgoMs: time.Since(c.EndedAt).Milliseconds(),
 		})
 	}
+	p.PartCrashes, p.PartAnswers = encodePartReports(h.policyState, time.Now())
 	if c.Summary {
 		now := time.Now()
 		parts := make([]placement.PartLocation, 0, len(h.zoneParts))
@@ -394,6 +411,7 @@
 	out := decodeState(p.GetWork(), p.GetBusy(), p.GetSeen())
 	out.Host, out.Zone, out.Lifetime = m.Host, m.Zone, lifetime
 	now := time.Now()
+	out.PartCrashes, out.PartAnswers = decodePartReports(p, now)
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	for _, c := range p.GetCrashes() {
 		out.Crashes = append(out.Crashes, placement.Crash{
--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -102,7 +102,9 @@
 	dutyLease *lease.Lease
 	feed      *feed.Feed
 	// crashesSeen counts the requests of this host that ended with their server.
-	crashesSeen      *metrics.Counter
+	crashesSeen *metrics.Counter
+	// heldParts is the number of parts of prompts because of which requests are refused.
+	heldParts        *metrics.Gauge
 	tableReflector   *reflector.Reflector
 	serversReflector *reflector.Reflector
 
@@ -144,6 +146,7 @@
 		cfg: cfg, platform: p, log: logs.Process, logs: logs, processID: cfg.Host + "/" + uuid.NewString()[:8],
 		clock: fleetclock.New(time.Now(), fleetclock.SinceBoot), serverList: serverlist.New(), storeDown: map[string]bool{}, zoneParts: map[placement.PartLocation]time.Time{},
 	}
+	h.heldParts = metrics.GetOrCreateGauge("shallotramp_held_parts", nil)
 	h.crashesSeen = metrics.GetOrCreateCounter("shallotramp_requests_crashed_total")
 	h.countsCompleteFrom = h.clock.Now().Add(warmUp)
 	h.servers.Store(&[]backend.Server{})
--- a/internal/traffic/placement/crash.go
+++ b/internal/traffic/placement/crash.go
@@ -23,6 +23,9 @@
 	// in one message.
 	crashShareTime   = 12 * time.Second
 	maxSharedCrashes = 16
+	// answerMargin is how long an answer must go on after its first token to show that its prompt does not crash the
+	// server. A crashing server may still send a token.
+	answerMargin = 100 * time.Millisecond
 	// clockTolerance is the error of times received from other hosts: a message takes milliseconds to arrive.
 	clockTolerance = 100 * time.Millisecond
 	// maxSuspects bounds the fingerprints whose crashes are remembered.
@@ -63,7 +66,7 @@
 	if e.req.Fingerprint != 0 {
 		t.unconfirmed = append(t.unconfirmed, Crash{
 			Fingerprint: e.req.Fingerprint, Server: e.server.info.ID, StartedAt: e.started, EndedAt: now,
-			SharedParts: sharedPartIDs(e.req.Parts), Answered: e.gotFirstToken,
+			SharedParts: e.sharedParts, Answered: e.gotFirstToken && now.Sub(e.firstTokenAt) >= answerMargin,
 		})
 	}
 }
@@ -94,16 +97,17 @@
 	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c Crash) bool { return c.Fingerprint == fingerprint })
 }
 
-// update confirms crashes whose servers have not answered in time, and forgets old crashes.
-func (t *crashTracker) update(now time.Time) {
+// update confirms crashes whose servers have not answered in time and returns them, and forgets old crashes.
+func (t *crashTracker) update(now time.Time) (confirmed []Crash) {
 	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c Crash) bool {
 		if now.Sub(c.EndedAt) < crashConfirmTime {
 			return false
 		}
 		t.add(now, c)
-		t.localCrashes = append(t.localCrashes, c)
+		confirmed = append(confirmed, c)
 		return true
 	})
+	t.localCrashes = append(t.localCrashes, confirmed...)
 	t.localCrashes = slices.DeleteFunc(t.localCrashes, func(c Crash) bool { return now.Sub(c.EndedAt) > crashShareTime })
 	for f, l := range t.crashes {
 		if now.Sub(l[len(l)-1].EndedAt) > crashRetention {
@@ -115,6 +119,7 @@
 			delete(t.completedAt, f)
 		}
 	}
+	return confirmed
 }
 
 // add records a crash; each server counts once for a request.
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -7,7 +7,8 @@
 // Each file handles a load pattern: long prompts beside short conversations
 // (estimate.go), a service without free slots (queue.go), servers that fail,
 // hang or are unreachable (health.go), retries that would multiply a failure
-// (budget.go), and requests that crash servers (crash.go).
+// (budget.go), requests that crash servers (crash.go), and parts of
+// prompts that crash each server whatever the rest of the request (part.go).
 package placement
 
 import (
@@ -19,6 +20,7 @@
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
 	"shallotramp/internal/traffic/route"
+	"shallotramp/internal/traffic/suspect"
 )
 
 // Policy places the requests of one host on backend servers. It implements [dispatch.CorePolicy].
@@ -37,6 +39,11 @@
 	entries     map[request.ID]*entry
 	peers       map[string]HostState
 	crashes     crashTracker
+	parts       *suspect.PartTracker
+	// begun are the requests whose answers began less than answerMargin ago.
+	begun []*entry
+	// triedAt is when this host last tried a request with a held part.
+	triedAt map[uint64]time.Time
 	// partLocations are the servers that were sent shared prompt parts since the last call of State.
 	partLocations []PartLocation
 }
@@ -67,7 +74,7 @@
 	p := &Policy{
 		rng: rand.New(rand.NewPCG(seed, 1)), hostSeed: seed, hostCount: 1,
 		services: map[string]*service{}, servers: map[string]*server{},
-		entries: map[request.ID]*entry{}, peers: map[string]HostState{}, crashes: newCrashTracker(),
+		entries: map[request.ID]*entry{}, peers: map[string]HostState{}, crashes: newCrashTracker(), parts: suspect.NewPartTracker(), triedAt: map[uint64]time.Time{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -92,7 +99,12 @@
 	// expectedLatency is the time to the first token that was expected when the attempt started.
 	expectedLatency time.Duration
 	gotFirstToken   bool
-	longPrompt      bool
+	firstTokenAt    time.Time
+	// sharedParts are the IDs of the prompt's parts that other requests may share.
+	sharedParts []uint64
+	// trial requests run although a part of their prompt is held.
+	trial      bool
+	longPrompt bool
 	// late requests can no longer meet their goal; they come after the other requests of their tier.
 	late bool
 	// urgency is the urgency level of the current attempt.
@@ -190,7 +202,7 @@
 
 // Arrive implements [dispatch.CorePolicy].
 func (p *Policy) Arrive(now time.Time, r *request.Request) []dispatch.Effect {
-	e := &entry{req: r, svc: p.service(r.Pool), waitingSince: r.Arrived}
+	e := &entry{req: r, svc: p.service(r.Pool), waitingSince: r.Arrived, sharedParts: sharedPartIDs(r.Parts)}
 	p.entries[r.ID] = e
 	e.svc.retries.recordRequest(now, p.limits.Window)
 	e.longPrompt = e.svc.engine != nil && r.PromptTokens >= longPromptTokens
@@ -202,6 +214,9 @@
 	if p.crashes.blocked(e.req.Fingerprint) {
 		return []dispatch.Effect{p.refuse(e, dispatch.CrashSuspect, crashSuspectRetryAfter, "earlier runs of the request crashed their servers, one after another")}
 	}
+	if p.heldByPart(now, e) {
+		return []dispatch.Effect{p.refuse(e, dispatch.CrashSuspect, crashSuspectRetryAfter, "requests with a part of this prompt crashed their servers, one after another")}
+	}
 	e.late = false
 	c := p.choose(now, e)
 	if c.server != nil && e.missesGoal(now, c) {
@@ -282,7 +297,10 @@
 	if e == nil || e.server == nil || e.gotFirstToken {
 		return
 	}
-	e.gotFirstToken = true
+	e.gotFirstToken, e.firstTokenAt = true, now
+	if len(e.sharedParts) > 0 {
+		p.begun = append(p.begun, e)
+	}
 	e.server.recordFirstToken(now, e)
 	p.crashes.recordAnswer(e.server.info.ID, e.started)
 	e.svc.latencyModel.observeFirstToken(now.Sub(e.started), e)
@@ -301,6 +319,7 @@
 		e.svc.latencyModel.observeAnswer(now.Sub(e.started), e)
 		p.crashes.recordAnswer(s.info.ID, e.started)
 		p.crashes.recordCompleted(now, e.req.Fingerprint)
+		p.parts.AddAnswers(e.answerBegan(), e.sharedParts)
 	case request.Failed, request.Rejected:
 		p.crashes.recordAnswer(s.info.ID, e.started)
 	case request.Broken:
@@ -356,7 +375,7 @@
 
 // Tick implements [dispatch.CorePolicy].
 func (p *Policy) Tick(now time.Time) []dispatch.Effect {
-	p.crashes.update(now)
+	p.updateParts(now, p.crashes.update(now))
 	for h, s := range p.peers {
 		if now.Sub(s.At) > max(minPeerLifetime, s.Lifetime) {
 			p.addPeerWork(s, -1)
--- a/internal/traffic/placement/server.go
+++ b/internal/traffic/placement/server.go
@@ -10,6 +10,7 @@
 	"shallotramp/internal/fleet/backend"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
+	"shallotramp/internal/traffic/suspect"
 )
 
 // server is what this host knows about one incarnation of a backend server.
@@ -271,6 +272,11 @@
 	Zone         string
 	// Crashes are recent crashes seen by the host itself.
 	Crashes []Crash
+	// PartCrashes and PartAnswers are crashes and answers by part of the prompt, those of other hosts included.
+	PartCrashes []suspect.PartCrash
+	PartAnswers []suspect.PartAnswer
+	// HeldParts are the parts because of which this host refuses requests.
+	HeldParts []uint64
 }
 
 // UpdatePeer replaces the state of another host; hosts is the number of hosts.
@@ -285,7 +291,8 @@
 	for _, c := range peer.Crashes {
 		p.crashes.add(now, c)
 	}
-	peer.PartLocations, peer.Crashes = nil, nil
+	p.parts.Merge(now, peer.PartCrashes, peer.PartAnswers)
+	peer.PartLocations, peer.Crashes, peer.PartCrashes, peer.PartAnswers = nil, nil, nil, nil
 	p.addPeerWork(p.peers[peer.Host], -1)
 	p.addPeerWork(peer, 1)
 	p.peers[peer.Host] = peer
@@ -295,7 +302,8 @@
 
 // State returns this host's outstanding work and the parts that were sent since the previous call.
 func (p *Policy) State(now time.Time) HostState {
-	out := HostState{At: now, Zone: p.zone, Work: make(map[string]Work, len(p.servers)), PartLocations: p.partLocations, ServerDemand: map[string]float64{}, Crashes: p.crashes.recentLocal()}
+	out := HostState{At: now, Zone: p.zone, Work: make(map[string]Work, len(p.servers)), PartLocations: p.partLocations, ServerDemand: map[string]float64{}, Crashes: p.crashes.recentLocal(), HeldParts: p.parts.HeldParts()}
+	out.PartCrashes, out.PartAnswers = p.parts.Shared(now)
 	for id, s := range p.servers {
 		if s.localWork != (Work{}) {
 			out.Work[id] = s.localWork
