scheduler, gateway, statesync: messages that crash engines are found on the serve path

In a test of three hosts, a message that crashed the engine under three requests, one at each host, was sent on by each of them.

Change: the gateway describes a conversation by its messages, all but the last of which other requests may share. The scheduler counts crashes by them with the tracker of the edge path, checks a request when it arrives and again when it leaves the queue, and the hosts exchange crashes and answers with their states.

TestPartThatCrashesServers of the scheduler failed (the fourth request started on each host) and passes; requests without the message start before and after.

--- a/internal/entry/gateway/model.go
+++ b/internal/entry/gateway/model.go
@@ -121,6 +121,7 @@
 	c.req.MaxTokens = int(max(parsed.Get("max_tokens").Int(), parsed.Get("max_completion_tokens").Int()))
 	c.req.Fingerprint = xxhash.Sum64(c.body)
 	c.req.Prefix = prefixHashes(c.body, parsed)
+	c.req.Parts = messageParts(parsed)
 	c.response.wantsUsage = parsed.Get("stream_options.include_usage").Bool()
 	return nil
 }
@@ -175,6 +176,23 @@
 	return d, err == nil && d > 0
 }
 
+// maxMessageParts bounds the messages of a prompt that are parts of it.
+const maxMessageParts = 64
+
+// messageParts returns a part for each message of a conversation. Conversations share messages, such as the system
+// prompt, and all but the last message with the earlier requests of the same conversation.
+func messageParts(v gjson.Result) []request.Part {
+	messages := v.Get("messages").Array()
+	if len(messages) > maxMessageParts {
+		messages = append(messages[:maxMessageParts-1:maxMessageParts-1], messages[len(messages)-1])
+	}
+	parts := make([]request.Part, 0, len(messages))
+	for _, m := range messages {
+		parts = append(parts, request.Part{ID: xxhash.Sum64String(m.Raw), Tokens: len(m.Raw)/bytesPerToken + 1})
+	}
+	return parts
+}
+
 // prefixHashes returns the hashes of the leading blocks of the prompt.
 func prefixHashes(body []byte, v gjson.Result) []uint64 {
 	text := v.Get("messages").Raw
--- a/internal/fleet/statesync/flatten.go
+++ b/internal/fleet/statesync/flatten.go
@@ -5,11 +5,13 @@
 package statesync
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
 
 	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/suspect"
 )
 
 // kind is what a value measures. Each kind has a quota in each message, so that none starves.
@@ -23,12 +25,14 @@
 	servedKind      kind = 'S' // served tokens of a class and organisation
 	waitKind        kind = 'W' // oldest wait of a class
 	crashKind       kind = 'M' // crashes of backend servers by the fingerprint of the request that ran
+	partCrashKind   kind = 'P' // time of a server's crash by a shared part of the prompt that ran, in Unix milliseconds
+	partAnswerKind  kind = 'A' // time of the last answer that began, by shared part, in Unix milliseconds
 	demandKind      kind = 'D' // demand of an organisation
 	hostKind        kind = 'H' // number of hosts whose states are in a sum
 )
 
 // kinds lists all kinds in order of urgency, the most urgent first.
-var kinds = []kind{tierKind, hostKind, crashKind, countKind, useKind, outstandingKind, demandKind, waitKind, servedKind}
+var kinds = []kind{tierKind, hostKind, crashKind, partAnswerKind, partCrashKind, countKind, useKind, outstandingKind, demandKind, waitKind, servedKind}
 
 // key identifies one value of a state.
 type key struct {
@@ -41,6 +45,8 @@
 	//   - servedKind: class, organisation
 	//   - waitKind: class
 	//   - crashKind: fingerprint
+	//   - partCrashKind: server, part
+	//   - partAnswerKind: part
 	//   - demandKind: organisation, demand name
 	//   - hostKind: hostCount
 	a, b, c string
@@ -88,6 +94,9 @@
 	}
 }
 
+// setLater stores a time unless a later one is stored.
+func (v values) setLater(k key, at time.Time) { v.set(k, max(v[k], at.UnixMilli())) }
+
 // flatten returns the values of h. It omits Waiting, Running and UsedTokens, which unflatten derives from others.
 func flatten(h *dispatch.HostState) values {
 	v := values{}
@@ -119,6 +128,14 @@
 		v.set(key{demandKind, org, streamCount, ""}, int64(d.Streams))
 	}
 	v.set(key{kind: hostKind, a: hostCount}, int64(h.Hosts))
+	for _, c := range h.PartCrashes {
+		for _, part := range c.Parts {
+			v.setLater(key{partCrashKind, c.Server, formatFingerprint(part), ""}, c.At)
+		}
+	}
+	for _, a := range h.PartAnswers {
+		v.setLater(key{kind: partAnswerKind, a: formatFingerprint(a.Part)}, a.At)
+	}
 	for f, n := range h.CrashCounts {
 		v.set(key{kind: crashKind, a: formatFingerprint(f)}, int64(n))
 	}
@@ -135,6 +152,8 @@
 	for k, n := range v {
 		h = setValue(h, k, n)
 	}
+	slices.SortFunc(h.PartCrashes, func(a, b suspect.PartCrash) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Server, b.Server)) })
+	slices.SortFunc(h.PartAnswers, func(a, b suspect.PartAnswer) int { return cmp.Compare(a.Part, b.Part) })
 	for k, n := range changes {
 		if k.kind != servedKind {
 			continue
@@ -160,6 +179,14 @@
 		h.Demand[k.a] = setDemandValue(h.Demand[k.a], k.b, n)
 	case hostKind:
 		h.Hosts = int(n)
+	case partCrashKind:
+		if part, ok := parseFingerprint(k.b); ok {
+			h.PartCrashes = addPartCrash(h.PartCrashes, k.a, time.UnixMilli(n), part)
+		}
+	case partAnswerKind:
+		if part, ok := parseFingerprint(k.a); ok {
+			h.PartAnswers = append(h.PartAnswers, suspect.PartAnswer{Part: part, At: time.UnixMilli(n)})
+		}
 	case crashKind:
 		if f, ok := parseFingerprint(k.a); ok {
 			h.CrashCounts[f] = int(n)
@@ -168,6 +195,18 @@
 	return h
 }
 
+// addPartCrash adds a part to the crash of a server at a time. Requests that broke with the server at the same millisecond
+// become one crash.
+func addPartCrash(crashes []suspect.PartCrash, server string, at time.Time, part uint64) []suspect.PartCrash {
+	i := slices.IndexFunc(crashes, func(c suspect.PartCrash) bool { return c.Server == server && c.At.Equal(at) })
+	if i < 0 {
+		return append(crashes, suspect.PartCrash{Server: server, At: at, Parts: []uint64{part}})
+	}
+	n, _ := slices.BinarySearch(crashes[i].Parts, part)
+	crashes[i].Parts = slices.Insert(crashes[i].Parts, n, part)
+	return crashes
+}
+
 func setPoolValue(h dispatch.HostState, p dispatch.PoolState, k key, n int64) dispatch.PoolState {
 	if p.Classes == nil {
 		p.Classes = map[string]dispatch.ClassState{}
--- a/internal/fleet/statesync/statesync_test.go
+++ b/internal/fleet/statesync/statesync_test.go
@@ -12,6 +12,7 @@
 
 	"shallotramp/internal/fleet/wire"
 	"shallotramp/internal/traffic/dispatch"
+	"shallotramp/internal/traffic/suspect"
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -22,6 +23,8 @@
 	h := dispatch.HostState{
 		Outstanding: map[string]int{}, Pools: map[string]dispatch.PoolState{}, ServedTokens: map[string]map[string]int64{"chat": {}},
 		OldestWait: map[string]time.Duration{"chat": time.Duration(r.IntN(5)) * time.Second}, CrashCounts: map[uint64]int{r.Uint64N(3): 1 + r.IntN(2)},
+		PartCrashes: []suspect.PartCrash{{Server: "engine-1", At: start.Add(time.Duration(r.IntN(5)) * time.Second), Parts: []uint64{1, 1 << 63}}},
+		PartAnswers: []suspect.PartAnswer{{Part: 1, At: start.Add(time.Duration(r.IntN(5)) * time.Second)}},
 	}
 	for i := range 10 {
 		h.Outstanding[fmt.Sprintf("engine-%d", i)] = r.IntN(3)
--- a/internal/fleet/statesync/sum.go
+++ b/internal/fleet/statesync/sum.go
@@ -104,6 +104,9 @@
 		for f, n := range src.state.CrashCounts {
 			out.CrashCounts[f] = max(out.CrashCounts[f], n)
 		}
+		// The receiver ignores what it knows from several sources.
+		out.PartCrashes = append(out.PartCrashes, src.state.PartCrashes...)
+		out.PartAnswers = append(out.PartAnswers, src.state.PartAnswers...)
 		mergePools(out.Pools, src.state.Pools, firstSource)
 		firstSource = false
 	}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 
 	"shallotramp/internal/catalog/release"
 	"shallotramp/internal/traffic/request"
+	"shallotramp/internal/traffic/suspect"
 )
 
 //go:generate go tool stringer -type EffectKind,RefusalReason,Role -output dispatch_string.go
@@ -80,6 +81,9 @@
 	UsedTokens map[string]int64
 	// CrashCounts counts crashes of servers by the fingerprint of the request that ran.
 	CrashCounts map[uint64]int
+	// PartCrashes and PartAnswers are crashes and answers by part of the prompt, those of other hosts included.
+	PartCrashes []suspect.PartCrash
+	PartAnswers []suspect.PartAnswer
 	// Pools holds the queued and running work of each pool.
 	Pools map[string]PoolState
 	// ServedTokens counts tokens of completed work since the host started, by class and organisation. Totals
--- a/internal/traffic/placement/crash.go
+++ b/internal/traffic/placement/crash.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"shallotramp/internal/traffic/request"
 )
 
 const (
@@ -71,18 +69,6 @@
 	}
 }
 
-// sharedPartIDs returns the IDs of the parts but the last, which belongs to one request or session only.
-func sharedPartIDs(parts []request.Part) []uint64 {
-	if len(parts) < 2 {
-		return nil
-	}
-	out := make([]uint64, 0, len(parts)-1)
-	for _, x := range parts[:len(parts)-1] {
-		out = append(out, x.ID)
-	}
-	return out
-}
-
 // recordAnswer drops possible crashes of a server that answered a request which started after them.
 func (t *crashTracker) recordAnswer(server string, started time.Time) {
 	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c Crash) bool { return c.Server == server && !started.Before(c.EndedAt) })
--- a/internal/traffic/placement/part.go
+++ b/internal/traffic/placement/part.go
@@ -7,10 +7,6 @@
 	"shallotramp/internal/traffic/suspect"
 )
 
-// trialTime is how long a host waits for the result of a trial before it starts another: servers need some time to begin
-// an answer, and a crash some to be confirmed.
-const trialTime = 2 * time.Second
-
 // heldByPart reports whether a request must not run because a part of its prompt crashes servers. A request that runs as a
 // trial is not retried.
 func (p *Policy) heldByPart(now time.Time, e *entry) bool {
@@ -18,11 +14,8 @@
 	if !held {
 		return false
 	}
-	if e.trial || now.Sub(p.triedAt[part]) < trialTime || p.rng.Float64()*float64(p.hostCount) >= trials {
-		return true
-	}
-	e.trial, p.triedAt[part] = true, now
-	return false
+	e.trial = !e.trial && p.parts.Try(now, part, trials, p.hostCount, p.rng)
+	return !e.trial
 }
 
 // answerBegan returns when the server began to answer at the latest if that is known, and otherwise when the attempt
@@ -52,9 +45,4 @@
 		}
 	}
 	p.parts.Expire(now)
-	for part, at := range p.triedAt {
-		if now.Sub(at) >= trialTime {
-			delete(p.triedAt, part)
-		}
-	}
 }
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -42,8 +42,6 @@
 	parts       *suspect.PartTracker
 	// begun are the requests whose answers began less than answerMargin ago.
 	begun []*entry
-	// triedAt is when this host last tried a request with a held part.
-	triedAt map[uint64]time.Time
 	// partLocations are the servers that were sent shared prompt parts since the last call of State.
 	partLocations []PartLocation
 }
@@ -74,7 +72,7 @@
 	p := &Policy{
 		rng: rand.New(rand.NewPCG(seed, 1)), hostSeed: seed, hostCount: 1,
 		services: map[string]*service{}, servers: map[string]*server{},
-		entries: map[request.ID]*entry{}, peers: map[string]HostState{}, crashes: newCrashTracker(), parts: suspect.NewPartTracker(), triedAt: map[uint64]time.Time{},
+		entries: map[request.ID]*entry{}, peers: map[string]HostState{}, crashes: newCrashTracker(), parts: suspect.NewPartTracker(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -202,7 +200,7 @@
 
 // Arrive implements [dispatch.CorePolicy].
 func (p *Policy) Arrive(now time.Time, r *request.Request) []dispatch.Effect {
-	e := &entry{req: r, svc: p.service(r.Pool), waitingSince: r.Arrived, sharedParts: sharedPartIDs(r.Parts)}
+	e := &entry{req: r, svc: p.service(r.Pool), waitingSince: r.Arrived, sharedParts: r.SharedParts()}
 	p.entries[r.ID] = e
 	e.svc.retries.recordRequest(now, p.limits.Window)
 	e.longPrompt = e.svc.engine != nil && r.PromptTokens >= longPromptTokens
--- a/internal/traffic/request/request.go
+++ b/internal/traffic/request/request.go
@@ -52,6 +52,18 @@
 	GapTarget time.Duration
 }
 
+// SharedParts returns the IDs of the parts that other requests may share, in order.
+func (r *Request) SharedParts() []uint64 {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	out := make([]uint64, 0, len(r.Parts)-1)
+	for _, x := range r.Parts[:len(r.Parts)-1] {
+		out = append(out, x.ID)
+	}
+	return out
+}
+
 // Part is a part of a prompt that other requests may share.
 type Part struct {
 	ID     uint64
--- a/internal/traffic/scheduler/delay.go
+++ b/internal/traffic/scheduler/delay.go
@@ -41,6 +41,10 @@
 	if e.refusalWhy != "" {
 		return nil, false
 	}
+	if p.heldByPart(now, e) {
+		e.refusalReason, e.refusalWhy = dispatch.CrashSuspect, heldPartWhy
+		return p.refuseOrDelay(now, e), true
+	}
 	switch p.suspects.Verdict(now, e.req.Fingerprint) {
 	case suspect.Held:
 		e.refusalReason, e.refusalWhy = dispatch.CrashSuspect, "the request crashed several backend servers"
--- a/internal/traffic/scheduler/entry.go
+++ b/internal/traffic/scheduler/entry.go
@@ -27,6 +27,8 @@
 	refusalReason dispatch.RefusalReason
 	// isolate is set if the request may crash its server. It then runs on a server without another suspect.
 	isolate bool
+	// trial requests run although a part of their prompt is held.
+	trial bool
 	// charged is the work that the organisation has been charged for the running attempt.
 	charged float64
 	// admitted is set if the request counts towards its organisation's limit. It was admitted with
--- a/internal/traffic/scheduler/finish.go
+++ b/internal/traffic/scheduler/finish.go
@@ -16,6 +16,7 @@
 	}
 	p.chooser.Progress(now, id, tokens)
 	e.generated += tokens
+	p.parts.tracker.AddAnswers(e.started, e.req.SharedParts())
 	if e.victimIndex >= 0 {
 		e.pool.victims.Fix(e.victimIndex)
 	}
@@ -37,6 +38,7 @@
 	pl := e.pool
 	p.chooser.Finished(now, e.req, r)
 	p.suspects.Finished(now, r.ID, r)
+	p.parts.finished(now, e, r)
 	if p.isolatedByServer[e.server] == r.ID {
 		delete(p.isolatedByServer, e.server)
 	}
--- a/internal/traffic/scheduler/peer.go
+++ b/internal/traffic/scheduler/peer.go
@@ -17,6 +17,7 @@
 func (p *Policy) Peer(now time.Time, h dispatch.HostState) []dispatch.Effect {
 	p.chooser.Peer(now, h)
 	p.suspects.UpdatePeer(now, h.Host, h.CrashCounts)
+	p.parts.tracker.Merge(now, h.PartCrashes, h.PartAnswers)
 	from, ok := p.peers[h.Host]
 	if !ok {
 		from = &peer{served: map[string]map[string]int64{}}
@@ -95,6 +96,7 @@
 		ServedTokens: p.served.recent(now), UsedTokens: p.served.recentByOrg(now), CrashCounts: p.suspects.Marks(),
 		Hosts: 1, Demand: p.limiter.Demand(now),
 	}
+	out.PartCrashes, out.PartAnswers = p.parts.tracker.Shared(now)
 	for name, pl := range p.pools {
 		s := pl.state(now)
 		out.Pools[name] = s
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -42,6 +42,7 @@
 	chooser  Chooser
 	retry    *retry.Policy
 	suspects *suspect.Tracker
+	parts    partSuspects
 	limiter  *limit.Limiter
 	// isolatedByServer holds the crash suspect of this host that each server runs.
 	isolatedByServer map[string]request.ID
@@ -70,6 +71,7 @@
 		rng:              rand.New(rand.NewPCG(seed, 0)),
 		retry:            retry.New(seed),
 		suspects:         suspect.New(),
+		parts:            partSuspects{tracker: suspect.NewPartTracker()},
 		limiter:          limit.New(),
 		isolatedByServer: map[string]request.ID{},
 		pools:            map[string]*pool{},
@@ -268,6 +270,7 @@
 // Tick implements [dispatch.Policy].
 func (p *Policy) Tick(now time.Time) []dispatch.Effect {
 	p.expirePeers(now)
+	p.parts.update(now)
 	for _, pl := range p.pools {
 		pl.updateShedThresholds(now, p.slots(pl))
 	}
--- a/internal/traffic/scheduler/start.go
+++ b/internal/traffic/scheduler/start.go
@@ -74,6 +74,10 @@
 			break
 		}
 		e := p.entries[it.Request.ID]
+		if !e.trial && p.heldByPart(now, e) {
+			out = append(out, p.refuseHeldPart(now, e))
+			continue
+		}
 		name, why, ok := p.choose(now, e, floor)
 		p.removeQueued(now, e)
 		if !ok {
--- a/internal/traffic/suspect/part.go
+++ b/internal/traffic/suspect/part.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -28,6 +29,9 @@
 	// minTrialDelay is the least time after the last crash from which a known part is tried again. The delay is at least
 	// the time that the crashes have lasted, so that trials of a part that crashes servers become rare.
 	minTrialDelay = 30 * time.Second
+	// trialTime is how long a host waits for the result of a trial before it starts another: servers need some time to
+	// begin an answer, and a crash some to be confirmed.
+	trialTime = 2 * time.Second
 	// partShareTime is how long a crash that holds no part is sent to other hosts. Crashes that hold a part are sent
 	// while it is held, for hosts that start.
 	partShareTime = 12 * time.Second
@@ -64,6 +68,8 @@
 	answeredAt *simplelru.LRU[uint64, time.Time]
 	// findings is nil if it has to be found again.
 	findings *partFindings
+	// triedAt is when this host last tried a request with a held part.
+	triedAt map[uint64]time.Time
 }
 
 // partFindings is what the crashes and answers so far show.
@@ -87,7 +93,7 @@
 	if err != nil {
 		panic(err) // The size is positive.
 	}
-	return &PartTracker{answeredAt: l}
+	return &PartTracker{answeredAt: l, triedAt: map[uint64]time.Time{}}
 }
 
 // AddCrash records a crash that this host has confirmed or another host has reported.
@@ -144,6 +150,7 @@
 	if n > 0 {
 		t.crashes, t.findings = slices.Delete(t.crashes, 0, n), nil
 	}
+	maps.DeleteFunc(t.triedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) >= trialTime })
 }
 
 // Held returns the part because of which a request must not run, and whether there is one. A share of the requests may
@@ -171,6 +178,16 @@
 	return part, trials, n > 0
 }
 
+// Try reports whether a request with held parts may run as a trial. It draws at random, so that all hosts together try
+// the share of the requests that [PartTracker.Held] returned.
+func (t *PartTracker) Try(now time.Time, part uint64, trials float64, hosts int, rng *rand.Rand) bool {
+	if now.Sub(t.triedAt[part]) < trialTime || rng.Float64()*float64(max(hosts, 1)) >= trials {
+		return false
+	}
+	t.triedAt[part] = now
+	return true
+}
+
 // HeldParts lists the held parts.
 func (t *PartTracker) HeldParts() []uint64 {
 	if len(t.crashes) == 0 {
