suspect: a held part that no server has answered is tried again too

If all servers of a service crash one after another for another reason while requests with a new part wait for their first answers, that part is held, and nothing answers it any more. It was refused for ten minutes. Now any held part is tried again from 30 s after its last crash, or after as long as the crashes have lasted; a part that does crash servers then costs one at ever longer intervals.

--- a/internal/traffic/suspect/part.go
+++ b/internal/traffic/suspect/part.go
@@ -22,12 +22,13 @@
 	sameCrash = time.Second
 	// minAnswerAdvance is how much later than the known answer that of another host must be to replace it.
 	minAnswerAdvance = 500 * time.Millisecond
-	// ambiguousTrials and knownTrials are the shares of the requests with a held part that run as trials, on all hosts
+	// ambiguousTrials and restedTrials are the shares of the requests with a held part that run as trials, on all hosts
 	// together.
 	ambiguousTrials = 1
-	knownTrials     = 0.25
-	// minTrialDelay is the least time after the last crash from which a known part is tried again. The delay is at least
-	// the time that the crashes have lasted, so that trials of a part that crashes servers become rare.
+	restedTrials    = 0.25
+	// minTrialDelay is the least time after the last crash from which a part is tried again: a sound part can be held if
+	// servers have crashed one after another for another reason. The delay is at least the time that the crashes have
+	// lasted, so that trials of a part that does crash servers become rare.
 	minTrialDelay = 30 * time.Second
 	// trialTime is how long a host waits for the result of a trial before it starts another: servers need some time to
 	// begin an answer, and a crash some to be confirmed.
@@ -154,8 +155,8 @@
 }
 
 // Held returns the part because of which a request must not run, and whether there is one. A share of the requests may
-// run as trials, on all hosts together, if it is their only such part and may be sound: another held part explains the
-// same crashes, or servers have answered requests with it before and have not crashed for a while.
+// run as trials, on all hosts together, if it is their only such part and another held part explains the same crashes, or
+// it has caused none for a while.
 func (t *PartTracker) Held(now time.Time, parts []uint64) (part uint64, trials float64, held bool) {
 	if len(t.crashes) == 0 {
 		return 0, 0, false
@@ -172,8 +173,8 @@
 	case n != 1:
 	case h.ambiguous:
 		trials = ambiguousTrials
-	case rested && t.isKnown(part):
-		trials = knownTrials
+	case rested:
+		trials = restedTrials
 	}
 	return part, trials, n > 0
 }
