--- a/internal/traffic/placement/crash.go
+++ b/internal/traffic/placement/crash.go
@@ -3,14 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"shallotramp/internal/traffic/suspect"
 )
 
 const (
 	// maxCrashes is the number of servers crashed one after another from which a request is refused.
 	maxCrashes = 3
-	// crashConfirmTime is how long an answer of the server is awaited after a connection broke. If one comes,
-	// the server has not crashed: a crashed server is back only after seconds, as another incarnation.
-	crashConfirmTime = 300 * time.Millisecond
 	// crashRetention is how long a crash is remembered.
 	crashRetention = 2 * time.Minute
 	// crashSuspectRetryAfter is the delay sent to callers of refused requests, which can run again when
@@ -49,7 +48,7 @@
 	crashes map[uint64][]Crash
 	// completedAt is when a request with crashes completed last; crashes before it do not count.
 	completedAt map[uint64]time.Time
-	// unconfirmed crashes are dropped if their server answers within crashConfirmTime.
+	// unconfirmed crashes are dropped if their server answers within suspect.ConfirmTime.
 	unconfirmed []Crash
 	// localCrashes are the confirmed crashes of this host's requests, to be sent to other hosts.
 	localCrashes []Crash
@@ -86,7 +85,7 @@
 // update confirms crashes whose servers have not answered in time and returns them, and forgets old crashes.
 func (t *crashTracker) update(now time.Time) (confirmed []Crash) {
 	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(c Crash) bool {
-		if now.Sub(c.EndedAt) < crashConfirmTime {
+		if now.Sub(c.EndedAt) < suspect.ConfirmTime {
 			return false
 		}
 		t.add(now, c)
--- a/internal/traffic/placement/placement.go
+++ b/internal/traffic/placement/placement.go
@@ -213,7 +213,7 @@
 		return []dispatch.Effect{p.refuse(e, dispatch.CrashSuspect, crashSuspectRetryAfter, "earlier runs of the request crashed their servers, one after another")}
 	}
 	if p.heldByPart(now, e) {
-		return []dispatch.Effect{p.refuse(e, dispatch.CrashSuspect, crashSuspectRetryAfter, "requests with a part of this prompt crashed their servers, one after another")}
+		return []dispatch.Effect{p.refuse(e, dispatch.CrashSuspect, crashSuspectRetryAfter, suspect.HeldPartWhy)}
 	}
 	e.late = false
 	c := p.choose(now, e)
--- a/internal/traffic/scheduler/delay.go
+++ b/internal/traffic/scheduler/delay.go
@@ -42,7 +42,7 @@
 		return nil, false
 	}
 	if p.heldByPart(now, e) {
-		e.refusalReason, e.refusalWhy = dispatch.CrashSuspect, heldPartWhy
+		e.refusalReason, e.refusalWhy = dispatch.CrashSuspect, suspect.HeldPartWhy
 		return p.refuseOrDelay(now, e), true
 	}
 	switch p.suspects.Verdict(now, e.req.Fingerprint) {
--- a/internal/traffic/scheduler/entry.go
+++ b/internal/traffic/scheduler/entry.go
@@ -27,6 +27,8 @@
 	refusalReason dispatch.RefusalReason
 	// isolate is set if the request may crash its server. It then runs on a server without another suspect.
 	isolate bool
+	// sharedParts are the IDs of the prompt's parts that other requests may share.
+	sharedParts []uint64
 	// trial requests run although a part of their prompt is held.
 	trial bool
 	// charged is the work that the organisation has been charged for the running attempt.
--- a/internal/traffic/scheduler/finish.go
+++ b/internal/traffic/scheduler/finish.go
@@ -16,7 +16,7 @@
 	}
 	p.chooser.Progress(now, id, tokens)
 	e.generated += tokens
-	p.parts.tracker.AddAnswers(e.started, e.req.SharedParts())
+	p.parts.tracker.AddAnswers(e.started, e.sharedParts)
 	if e.victimIndex >= 0 {
 		e.pool.victims.Fix(e.victimIndex)
 	}
--- a/internal/traffic/scheduler/part.go
+++ b/internal/traffic/scheduler/part.go
@@ -9,16 +9,8 @@
 	"shallotramp/internal/traffic/suspect"
 )
 
-const (
-	// crashConfirmTime is how long an answer of the server is awaited after a connection broke. If one comes, the server
-	// has not crashed.
-	crashConfirmTime = 300 * time.Millisecond
-	// heldPartWhy explains a refusal because of a part.
-	heldPartWhy = "requests with a part of this prompt crashed their servers, one after another"
-)
-
 // partSuspects finds parts of prompts that crash servers. Crashes are unconfirmed until their server has not answered for
-// crashConfirmTime.
+// [suspect.ConfirmTime].
 type partSuspects struct {
 	tracker     *suspect.PartTracker
 	unconfirmed []suspect.PartCrash
@@ -28,11 +20,11 @@
 func (s *partSuspects) finished(now time.Time, e *entry, r request.Result) {
 	switch {
 	case r.Outcome == request.Completed:
-		s.tracker.AddAnswers(e.started, e.req.SharedParts())
+		s.tracker.AddAnswers(e.started, e.sharedParts)
 		s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(c suspect.PartCrash) bool { return c.Server == e.server && !e.started.Before(c.At) })
 	case r.Outcome == request.Broken && r.Delivered == 0:
-		if parts := e.req.SharedParts(); len(parts) > 0 {
-			s.unconfirmed = append(s.unconfirmed, suspect.PartCrash{Server: e.server, At: now, Parts: parts})
+		if len(e.sharedParts) > 0 {
+			s.unconfirmed = append(s.unconfirmed, suspect.PartCrash{Server: e.server, At: now, Parts: e.sharedParts})
 		}
 	}
 }
@@ -40,7 +32,7 @@
 // update confirms crashes whose servers have not answered in time and forgets old ones.
 func (s *partSuspects) update(now time.Time) {
 	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(c suspect.PartCrash) bool {
-		confirmed := now.Sub(c.At) >= crashConfirmTime
+		confirmed := now.Sub(c.At) >= suspect.ConfirmTime
 		if confirmed {
 			s.tracker.AddCrash(now, c)
 		}
@@ -52,7 +44,7 @@
 // heldByPart reports whether a request must not run because a part of its prompt crashes servers. A request that runs as a
 // trial is not retried.
 func (p *Policy) heldByPart(now time.Time, e *entry) bool {
-	part, trials, held := p.parts.tracker.Held(now, e.req.SharedParts())
+	part, trials, held := p.parts.tracker.Held(now, e.sharedParts)
 	if !held {
 		return false
 	}
@@ -63,5 +55,5 @@
 // refuseHeldPart refuses a request that waits in its queue although a part of its prompt is held by now.
 func (p *Policy) refuseHeldPart(now time.Time, e *entry) dispatch.Effect {
 	p.removeQueued(now, e)
-	return p.refuse(now, e, dispatch.CrashSuspect, heldPartWhy)
+	return p.refuse(now, e, dispatch.CrashSuspect, suspect.HeldPartWhy)
 }
--- a/internal/traffic/scheduler/scheduler.go
+++ b/internal/traffic/scheduler/scheduler.go
@@ -159,7 +159,7 @@
 
 // Arrive implements [dispatch.Policy].
 func (p *Policy) Arrive(now time.Time, r *request.Request) []dispatch.Effect {
-	e := &entry{req: r, delayedIndex: -1, victimIndex: -1}
+	e := &entry{req: r, sharedParts: r.SharedParts(), delayedIndex: -1, victimIndex: -1}
 	p.entries[r.ID] = e
 	if p.snap == nil || !p.canServe(r) || p.pools[r.Pool] == nil {
 		return []dispatch.Effect{p.refuse(now, e, dispatch.NoServer, "the request's class or a server of its pool is not configured")}
--- a/internal/traffic/suspect/part.go
+++ b/internal/traffic/suspect/part.go
@@ -10,6 +10,13 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
+// ConfirmTime is how long an answer of a server is awaited after a connection to it broke. If one comes, the server has
+// not crashed: a crashed server is back only after seconds, as another incarnation.
+const ConfirmTime = 300 * time.Millisecond
+
+// HeldPartWhy explains a refusal because of a held part.
+const HeldPartWhy = "requests with a part of this prompt crashed their servers, one after another"
+
 const (
 	// newPartCrashes and knownPartCrashes are the numbers of crashes without an answer in between from which a part is
 	// held. Servers have answered requests with a known part before, so that other causes are likelier.
--- a/internal/traffic/suspect/suspect.go
+++ b/internal/traffic/suspect/suspect.go
@@ -2,7 +2,8 @@
 // request by the fingerprint of its content, so that it recognises resends, also
 // on other hosts. A crash counts against the fingerprints of all requests that ran
 // on the server; a fingerprint with such a count is marked. When a request with
-// the fingerprint completes, the mark is lifted.
+// the fingerprint completes, the mark is lifted. It also detects parts of prompts that
+// crash servers whatever else the request holds, see [PartTracker].
 package suspect
 
 import (
