--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -92,21 +92,22 @@
 	// processID is the name of the host and a random suffix, so that a restarted host counts as another process.
 	processID string
 
-	policy    *placement.Policy
-	loop      *dispatch.Loop
-	proxy     *edge.Proxy
-	gossip    *gossip.Endpoint
-	clock     *fleetclock.Clock
-	tally     *tally.Tally
-	leases    *lease.Manager
-	dutyLease *lease.Lease
-	feed      *feed.Feed
+	policy           *placement.Policy
+	loop             *dispatch.Loop
+	proxy            *edge.Proxy
+	gossip           *gossip.Endpoint
+	clock            *fleetclock.Clock
+	tally            *tally.Tally
+	leases           *lease.Manager
+	dutyLease        *lease.Lease
+	feed             *feed.Feed
+	tableReflector   *reflector.Reflector
+	serversReflector *reflector.Reflector
+
 	// crashesSeen counts the requests of this host that ended with their server.
 	crashesSeen *metrics.Counter
 	// heldParts is the number of parts of prompts because of which requests are refused.
-	heldParts        *metrics.Gauge
-	tableReflector   *reflector.Reflector
-	serversReflector *reflector.Reflector
+	heldParts *metrics.Gauge
 
 	servers       atomic.Pointer[[]backend.Server]
 	serversListed atomic.Bool
--- a/internal/traffic/suspect/part.go
+++ b/internal/traffic/suspect/part.go
@@ -369,8 +369,11 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b candidate) int {
-		if a.holds != b.holds {
-			return map[bool]int{true: -1, false: 1}[a.holds]
+		switch {
+		case a.holds && !b.holds:
+			return -1
+		case b.holds && !a.holds:
+			return 1
 		}
 		return cmp.Compare(b.count, a.count)
 	})
