--- /dev/null
+++ b/review/_standin/cases.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// cases are the cases by name. Each returns the exit code and a line that says what was seen.
+var cases = map[string]func(w *world, trouble bool) (int, string){
+	"stray": playStray,
+	"junk":  playJunk,
+}
+
+// siteRoutes are the plain requests and the resumable streams of threadwell-midlands, at the site's rates.
+var siteRoutes = []route{
+	{name: "book-fitter", kind: "unsafe", service: "bookings-app", timeoutMs: 1200, perSecond: 17},
+	{name: "slot-lookup", kind: "safe", service: "bookings-app", timeoutMs: 1200, perSecond: 6.8},
+	{name: "slot-chat", kind: "streaming", service: "shallot-pool", timeoutMs: 15000, perSecond: 35.1, resumable: true},
+}
+
+// setUp starts a small deployment: the edges of the site, three runners of each service.
+func setUp(w *world, memoryMb int) error {
+	w.configure(siteRoutes)
+	if err := w.addRunners("bookings-app", 3, plainSlots, plainQueue); err != nil {
+		return err
+	}
+	if err := w.addRunners("shallot-pool", 3, engineSlots, 134); err != nil {
+		return err
+	}
+	if err := w.startEdges(memoryMb); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second) // The edges are in touch contactMs after their start.
+	return nil
+}
+
+const (
+	calmTime    = 6 * time.Second
+	troubleTime = 20 * time.Second
+)
+
+// playStray: another writer, for example an older tool that lists its own web servers, writes an entry of kind servers for
+// each zone, in which fields are missing. At their address a web server that is no runner says 404 to all paths.
+func playStray(w *world, trouble bool) (int, string) {
+	if err := setUp(w, 284); err != nil {
+		return couldNotRun, err.Error()
+	}
+	foreign, err := serve(w.net+".9.1:0", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		w.rec.note("the web server that is no runner got %s %s of attempt %s", r.Method, r.URL.Path, r.Header.Get("X-Attempt-Id"))
+		rw.Header().Set("Connection", "close")
+		http.NotFound(rw, r)
+	}))
+	if err != nil {
+		return couldNotRun, err.Error()
+	}
+	wg := load(w.edges, w.rec, siteRoutes, time.Now().Add(calmTime+troubleTime))
+	time.Sleep(calmTime)
+	if trouble {
+		for _, z := range zones {
+			w.rec.note("another writer writes an entry of zone %s without version, slots, coldLeftMs, sequence and born", z)
+			w.store.put("servers", "web-"+z, map[string]any{"service": "bookings-app", "address": foreign, "zone": z, "state": "ready"})
+		}
+	}
+	wg.Wait()
+	denied, lost := 0, 0
+	for _, a := range w.rec.answers {
+		if a.status >= 300 && a.status < 500 && a.status != 408 && a.status != 421 && a.status != 429 && !a.sealed {
+			denied++
+			if a.route == "book-fitter" {
+				lost++
+			}
+		}
+	}
+	limit := 5 + len(w.rec.answers)/500
+	result := fmt.Sprintf("DENIED: %d of %d requests ended with a 3xx or 4xx that bears no runner's seal, %d of them bookings; allowed are %d", denied, len(w.rec.answers), lost, limit)
+	if denied > limit {
+		return broken, result
+	}
+	return held, result
+}
+
+// junkText is what a faulty model runner writes into its stream before bytes without end: the trace of its crash.
+const junkText = "panic: runtime error: index out of range [64] with length 64\n\ngoroutine 41 [running]:\nmain.(*batch).step(0x400012a000)\n\n"
+
+// playJunk: a model runner writes bytes that are no answer into some of its streams, without end, until the caller closes.
+func playJunk(w *world, trouble bool) (int, string) {
+	if err := setUp(w, 284); err != nil {
+		return couldNotRun, err.Error()
+	}
+	bad := w.runners[3]
+	var begin, end time.Time
+	if trouble {
+		begin = time.Now().Add(calmTime)
+		end = begin.Add(5500 * time.Millisecond)
+		bad.spoil = func(n int, rw http.ResponseWriter, r *http.Request) bool {
+			if now := time.Now(); now.Before(begin) || now.After(end) || n%20 != 0 || r.Header.Get("Last-Event-Id") != "" {
+				return false
+			}
+			bad.writeJunk(rw, r)
+			return true
+		}
+	}
+	wg := load(w.edges, w.rec, siteRoutes, time.Now().Add(calmTime+9*time.Second))
+	wg.Wait()
+	streams, mixed, cutWithJunk := 0, 0, 0
+	for _, a := range w.rec.answers {
+		if a.route != "slot-chat" || a.status != http.StatusOK {
+			continue
+		}
+		streams++
+		whole := wholeStream(a.attempt)
+		switch {
+		case a.err == "" && a.sealed && a.body != whole:
+			mixed++
+			w.rec.note("attempt %s: a complete success whose body is no runner's: %q ...", a.attempt, a.body[:min(len(a.body), 900)])
+		case a.err != "" && !strings.HasPrefix(whole, a.body):
+			cutWithJunk++
+		}
+	}
+	result := fmt.Sprintf("MIXED: %d of %d streams were complete successes with bytes that are no answer in them; %d more were cut after such bytes", mixed, streams, cutWithJunk)
+	if mixed > 0 {
+		return broken, result
+	}
+	return held, result
+}
+
+// writeJunk sends five events of a stream, then bytes that are no answer, without end, until the caller closes.
+func (x *runner) writeJunk(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get("X-Attempt-Id")
+	x.rec.note("runner %s spoils the stream of %s", x.id, attempt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	write := func(text string) bool {
+		_, err := io.WriteString(w, text)
+		return err == nil && rc.Flush() == nil
+	}
+	for i := 1; i <= 5; i++ {
+		time.Sleep(eventInterval)
+		if !write(event(attempt, i)) {
+			return
+		}
+	}
+	if !write(junkText) {
+		return
+	}
+	for zeros := strings.Repeat("\x00", 16<<10); write(zeros); {
+	}
+}
--- /dev/null
+++ b/review/_standin/store.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// storeDelay is the time that the store takes for an answer.
+const storeDelay = 4 * time.Millisecond
+
+// metadata is the metadata of an object in the store.
+type metadata struct {
+	Name            string   `json:"name"`
+	Revision        int64    `json:"revision"`
+	Created         int64    `json:"created"`
+	Finalizers      []string `json:"finalizers"`
+	DeletionPending bool     `json:"deletionPending"`
+}
+
+// object is an object in the store.
+type object struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// change is an entry of the store's history.
+type change struct {
+	kind    string
+	object  object
+	deleted bool
+}
+
+// store is a stand-in of the platform's metadata store. It keeps its whole history.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]map[string]object
+	history  []change
+	changed  chan struct{}
+}
+
+func newStore() *store {
+	return &store{revision: 100, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+}
+
+// put writes an object as the operator, a runner or another writer does.
+func (s *store) put(kind, name string, spec any) {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // The specs are constants of this program.
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(kind, name, raw)
+}
+
+// remove removes an object.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	o.Metadata.Revision = s.revision
+	s.log(change{kind, o, true})
+}
+
+func (s *store) log(c change) {
+	s.history = append(s.history, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) set(kind, name string, raw json.RawMessage) object {
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	o, ok := s.objects[kind][name]
+	if ok && string(o.Spec) == string(raw) {
+		return o
+	}
+	s.revision++
+	if !ok {
+		o.Metadata = metadata{Name: name, Created: s.revision, Finalizers: []string{}}
+	}
+	o.Metadata.Revision, o.Spec = s.revision, raw
+	s.objects[kind][name] = o
+	s.log(change{kind, o, false})
+	return o
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeDelay)
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	switch {
+	case r.Method == http.MethodGet && name != "":
+		s.mu.Lock()
+		o, ok := s.objects[kind][name]
+		s.mu.Unlock()
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		writeJSON(w, http.StatusOK, o)
+	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet:
+		s.list(w, kind, r.URL.Query().Get("after"))
+	case r.Method == http.MethodDelete:
+		s.remove(kind, name)
+		writeJSON(w, http.StatusOK, struct{}{})
+	default:
+		s.write(w, r, kind)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", "0")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // The caller may have gone.
+}
+
+func (s *store) list(w http.ResponseWriter, kind, after string) {
+	s.mu.Lock()
+	items := []object{}
+	for name, o := range s.objects[kind] {
+		if name > after {
+			items = append(items, o)
+		}
+	}
+	at := s.revision
+	s.mu.Unlock()
+	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "at": at})
+}
+
+func (s *store) write(w http.ResponseWriter, r *http.Request, kind string) {
+	var in object
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	old, exists := s.objects[kind][in.Metadata.Name]
+	switch {
+	case r.Method == http.MethodPut && !exists:
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case r.Method == http.MethodPost && exists, in.Metadata.Revision != 0 && in.Metadata.Revision != old.Metadata.Revision:
+		s.mu.Unlock()
+		writeJSON(w, http.StatusConflict, old)
+		return
+	}
+	o := s.set(kind, in.Metadata.Name, in.Spec)
+	s.mu.Unlock()
+	writeJSON(w, http.StatusOK, o)
+}
+
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+	wait, waitErr := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if err != nil || waitErr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	t := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer t.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		events := []map[string]any{}
+		for _, c := range s.history {
+			if c.kind == kind && c.object.Metadata.Revision > from {
+				events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+			}
+		}
+		at, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 || over {
+			writeJSON(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
