review: a holder that was cut off reports usage again after the store's drill

The process that had the duties keeps what it wrote of the usage record if it knows of no other holder.

--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -10,9 +10,10 @@
 
 // cases are the cases by name. Each returns the exit code and a line that says what was seen.
 var cases = map[string]func(w *world, trouble bool) (int, string){
-	"stray": playStray,
-	"junk":  playJunk,
-	"flood": playFlood,
+	"stray":      playStray,
+	"junk":       playJunk,
+	"flood":      playFlood,
+	"handover":   playHandover,
 }
 
 // site is a small deployment, with the figures of a site file.
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -74,9 +74,16 @@
 type edge struct {
 	name, ip, zone, settings string
 	frontPort, readyPort     int
-	cmd                      *exec.Cmd
-	exited                   chan struct{}
-	log                      *os.File
+	// fleetPort is the first internal port, and seeds are the addresses of machines that the settings name.
+	fleetPort int
+	seeds     []string
+	// storeAddr and dutiesAddr are the platform's addresses for this machine.
+	storeAddr, dutiesAddr string
+	// link can be cut; nil if the case has no links.
+	link   *cutState
+	cmd    *exec.Cmd
+	exited chan struct{}
+	log    *os.File
 }
 
 func (e *edge) front() string { return fmt.Sprintf("%s:%d", e.ip, e.frontPort) }
@@ -92,6 +99,9 @@
 	dutiesAddr     string
 	ports          [3]int
 	site           site
+	duties         *duties
+	// cuttable is set if each edge is to have links that can be cut.
+	cuttable bool
 }
 
 // freeNet returns the first two bytes of loopback addresses on which the ports that the system chooses are free.
@@ -113,6 +123,7 @@
 		return nil, err
 	}
 	w := &world{root: root, dir: dir, rec: &recorder{start: time.Now()}, store: newStore()}
+	w.duties = &duties{rec: w.rec, reports: map[int64]report{}}
 	if w.net, err = freeNet(); err != nil {
 		return nil, err
 	}
@@ -122,9 +133,7 @@
 	if w.storeAddr, err = serve(w.net+".0.1:0", w.store); err != nil {
 		return nil, err
 	}
-	w.dutiesAddr, err = serve(w.net+".0.2:0", http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		rw.WriteHeader(http.StatusOK)
-	}))
+	w.dutiesAddr, err = serve(w.net+".0.2:0", w.duties)
 	return w, err
 }
 
@@ -185,20 +194,31 @@
 
 // startEdges starts the edges and waits until all are ready.
 func (w *world) startEdges() error {
+	var seeds []string
+	for i := range w.site.zones[:3] {
+		seeds = append(seeds, fmt.Sprintf("%s.%d.1:%d", w.net, i+1, w.ports[0]+1))
+	}
 	for i, z := range w.site.zones {
 		for k := 1; k <= w.site.edgesPerZone[i]; k++ {
 			name := fmt.Sprintf("edge-%s-%d", z, k)
 			e := &edge{
 				name: name, ip: fmt.Sprintf("%s.%d.%d", w.net, i+1, k), zone: z, frontPort: w.ports[0], readyPort: w.ports[1],
-				settings: filepath.Join(w.dir, name+".yaml"),
-			}
-			if err := os.WriteFile(e.settings, []byte(w.settings(e, true)), 0o600); err != nil {
-				return err
+				settings: filepath.Join(w.dir, name+".yaml"), fleetPort: w.ports[2], seeds: seeds, storeAddr: w.storeAddr, dutiesAddr: w.dutiesAddr,
 			}
 			w.edges = append(w.edges, e)
-			if err := w.startEdge(e); err != nil {
-				return err
-			}
+		}
+	}
+	if w.cuttable {
+		if err := w.addLinks(); err != nil {
+			return err
+		}
+	}
+	for _, e := range w.edges {
+		if err := os.WriteFile(e.settings, []byte(w.settings(e, true)), 0o600); err != nil {
+			return err
+		}
+		if err := w.startEdge(e); err != nil {
+			return err
 		}
 	}
 	for range 200 {
@@ -265,10 +285,6 @@
 		}
 		return string(raw)
 	}
-	var seeds []string
-	for i := range w.site.zones[:3] {
-		seeds = append(seeds, fmt.Sprintf("%s.%d.1:%d", w.net, i+1, w.ports[0]+1))
-	}
 	return fmt.Sprintf(`nodeName: %s
 role: "edge"
 machineClass: "edge"
@@ -292,8 +308,8 @@
   cacheReuseS: 8.3}
 platform: {address: %s, form: "objects", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
 cloud: {address: %s, ratePerS: 50.0, duties: ["usage_report"], dutyPerS: 50.0}
-`, quote(e.name), quote(e.ip), quote(e.zone), e.ip, e.frontPort, e.ip, e.readyPort, e.ip, e.frontPort+1, w.ports[2], w.ports[2]+15,
-		quote(seeds), first, w.site.memoryMb, quote(w.storeAddr), quote(w.dutiesAddr))
+`, quote(e.name), quote(e.ip), quote(e.zone), e.ip, e.frontPort, e.ip, e.readyPort, e.ip, e.frontPort+1, e.fleetPort, e.fleetPort+15,
+		quote(e.seeds), first, w.site.memoryMb, quote(e.storeAddr), quote(e.dutiesAddr))
 }
 
 // stop ends all processes that the case started.
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -43,6 +44,55 @@
 	objects  map[string]map[string]object
 	history  []change
 	changed  chan struct{}
+	// era rises by one each time the store comes back from a copy. While it is away, it doesn't answer.
+	era  int64
+	away bool
+}
+
+// storeCopy is a copy of the store's content.
+type storeCopy struct {
+	revision int64
+	objects  map[string]map[string]object
+	history  int
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{s.revision, map[string]map[string]object{}, len(s.history)}
+	for kind, objects := range s.objects {
+		c.objects[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// leave makes the store silent, and cuts off the watches that wait.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	s.wake()
+}
+
+// comeBack makes the store answer again, with the content of a copy. What was written since is lost, and revisions go back.
+func (s *store) comeBack(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.objects, s.history = c.revision, c.objects, s.history[:c.history]
+	s.era, s.away = s.era+1, false
+	s.wake()
+}
+
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// isAway reports whether the store is away, and its era.
+func (s *store) isAway() (away bool, era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away, s.era
 }
 
 func newStore() *store {
@@ -60,6 +110,13 @@
 	s.set(kind, name, raw)
 }
 
+// putRaw writes an object with a spec of these bytes.
+func (s *store) putRaw(kind, name string, raw json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set(kind, name, raw)
+}
+
 // remove removes an object.
 func (s *store) remove(kind, name string) {
 	s.mu.Lock()
@@ -76,8 +133,7 @@
 
 func (s *store) log(c change) {
 	s.history = append(s.history, c)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 func (s *store) set(kind, name string, raw json.RawMessage) object {
@@ -101,6 +157,12 @@
 // ServeHTTP implements [http.Handler].
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeDelay)
+	away, era := s.isAway()
+	if away {
+		<-r.Context().Done()
+		return
+	}
+	w.Header().Set("Store-Era", strconv.FormatInt(era, 10))
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	switch {
 	case r.Method == http.MethodGet && name != "":
@@ -126,7 +188,6 @@
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "0")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v) // The caller may have gone.
 }
@@ -185,8 +246,15 @@
 				events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
 			}
 		}
-		at, changed := s.revision, s.changed
+		at, changed, gone := s.revision, s.changed, s.away || strconv.FormatInt(s.era, 10) != w.Header().Get("Store-Era")
 		s.mu.Unlock()
+		switch {
+		case gone:
+			panic(http.ErrAbortHandler) // A watch that waits is cut off.
+		case from > at:
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 || over {
 			writeJSON(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
