--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -14,6 +14,7 @@
 	"junk":       playJunk,
 	"flood":      playFlood,
 	"handover":   playHandover,
+	"unreadable": playUnreadable,
 }
 
 // site is a small deployment, with the figures of a site file.
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"sort"
@@ -27,7 +29,6 @@
 type object struct {
 	Metadata metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
-	Status   json.RawMessage `json:"status"`
 }
 
 // change is an entry of the store's history.
@@ -173,23 +174,33 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		writeJSON(w, http.StatusOK, o)
+		writeJSON(w, http.StatusOK, o.encode())
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
 	case r.Method == http.MethodGet:
 		s.list(w, kind, r.URL.Query().Get("after"))
 	case r.Method == http.MethodDelete:
 		s.remove(kind, name)
-		writeJSON(w, http.StatusOK, struct{}{})
+		writeJSON(w, http.StatusOK, "{}")
 	default:
 		s.write(w, r, kind)
 	}
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
+// writeJSON writes a response with a body in JSON.
+func writeJSON(w http.ResponseWriter, status int, body string) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v) // The caller may have gone.
+	_, _ = io.WriteString(w, body) // The caller may have gone.
+}
+
+// encode returns the object in JSON. The spec is passed on as it was written: encoding/json would look into it.
+func (o object) encode() string {
+	meta, err := json.Marshal(o.Metadata)
+	if err != nil {
+		panic(err) // It holds only names and numbers.
+	}
+	return fmt.Sprintf(`{"metadata":%s,"spec":%s,"status":null}`, meta, o.Spec)
 }
 
 func (s *store) list(w http.ResponseWriter, kind, after string) {
@@ -203,7 +214,11 @@
 	at := s.revision
 	s.mu.Unlock()
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "at": at})
+	var texts []string
+	for _, o := range items {
+		texts = append(texts, o.encode())
+	}
+	writeJSON(w, http.StatusOK, fmt.Sprintf(`{"items":[%s],"hasMore":false,"at":%d}`, strings.Join(texts, ","), at))
 }
 
 func (s *store) write(w http.ResponseWriter, r *http.Request, kind string) {
@@ -221,12 +236,12 @@
 		return
 	case r.Method == http.MethodPost && exists, in.Metadata.Revision != 0 && in.Metadata.Revision != old.Metadata.Revision:
 		s.mu.Unlock()
-		writeJSON(w, http.StatusConflict, old)
+		writeJSON(w, http.StatusConflict, old.encode())
 		return
 	}
 	o := s.set(kind, in.Metadata.Name, in.Spec)
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, o)
+	writeJSON(w, http.StatusOK, o.encode())
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -240,10 +255,10 @@
 	defer t.Stop()
 	for over := false; ; {
 		s.mu.Lock()
-		events := []map[string]any{}
+		var events []string
 		for _, c := range s.history {
 			if c.kind == kind && c.object.Metadata.Revision > from {
-				events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+				events = append(events, fmt.Sprintf(`{"object":%s,"deleted":%t}`, c.object.encode(), c.deleted))
 			}
 		}
 		at, changed, gone := s.revision, s.changed, s.away || strconv.FormatInt(s.era, 10) != w.Header().Get("Store-Era")
@@ -256,7 +271,7 @@
 			return
 		}
 		if len(events) > 0 || over {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			writeJSON(w, http.StatusOK, fmt.Sprintf(`{"events":[%s],"at":%d}`, strings.Join(events, ","), at))
 			return
 		}
 		select {
