--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -21,7 +22,9 @@
 type site struct {
 	zones        []string
 	edgesPerZone []int
-	memoryMb     int
+	// perSecond are the requests a second of each zone's clients.
+	perSecond []float64
+	memoryMb  int
 	// plain and model are the services, with their numbers of runners.
 	plain, model               string
 	plainRunners, modelRunners int
@@ -29,6 +32,22 @@
 	routes                     []route
 }
 
+// drawZone draws the zone of a client.
+func (s site) drawZone(rng *rand.Rand) string {
+	total := 0.0
+	for _, n := range s.perSecond {
+		total += n
+	}
+	x := rng.Float64() * total
+	for i, n := range s.perSecond {
+		if x < n {
+			return s.zones[i]
+		}
+		x -= n
+	}
+	return s.zones[0]
+}
+
 // service returns the service of a route.
 func (s site) service(rt route) string {
 	if rt.kind == "streaming" {
@@ -39,7 +58,7 @@
 
 // threadwell has the figures of threadwell-midlands, without its longest requests and with a third of its model runners.
 var threadwell = site{
-	zones: []string{"mid-a", "mid-b", "mid-c"}, edgesPerZone: []int{3, 2, 2}, memoryMb: 284,
+	zones: []string{"mid-a", "mid-b", "mid-c"}, edgesPerZone: []int{3, 2, 2}, perSecond: []float64{31.3, 28.3, 32.2}, memoryMb: 284,
 	plain: "bookings-app", model: "shallot-pool", plainRunners: 3, modelRunners: 3, modelQueue: 134, kvCapacity: 506016,
 	routes: []route{
 		{name: "book-fitter", kind: "unsafe", timeoutMs: 1200, goalMs: 150, deadlineMs: 2500, perSecond: 17},
@@ -84,7 +103,7 @@
 	if err != nil {
 		return couldNotRun, err.Error()
 	}
-	wg := load(w.edges, w.rec, threadwell.routes, time.Now().Add(calmTime+troubleTime))
+	wg := load(w, time.Now().Add(calmTime+troubleTime))
 	time.Sleep(calmTime)
 	if trouble {
 		for _, z := range w.site.zones {
@@ -131,7 +150,7 @@
 			return true
 		}
 	}
-	wg := load(w.edges, w.rec, threadwell.routes, time.Now().Add(calmTime+9*time.Second))
+	wg := load(w, time.Now().Add(calmTime+9*time.Second))
 	wg.Wait()
 	streams, mixed, cutWithJunk := 0, 0, 0
 	for _, a := range w.rec.answers {
--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -131,19 +131,20 @@
 	keep = !res.Close
 }
 
-// load sends requests at the routes' rates, spread over the edges, until end.
-func load(edges []*edge, rec *recorder, routes []route, end time.Time) *sync.WaitGroup {
+// load sends requests at the routes' rates until end. Each zone's clients connect to the edges of their zone.
+func load(w *world, end time.Time) *sync.WaitGroup {
 	var wg sync.WaitGroup
-	var groups []*clients
-	for _, e := range edges {
-		groups = append(groups, &clients{edge: e, rec: rec})
+	groups := map[string][]*clients{}
+	for _, e := range w.edges {
+		groups[e.zone] = append(groups[e.zone], &clients{edge: e, rec: w.rec})
 	}
-	for i, rt := range routes {
+	for i, rt := range w.site.routes {
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(uint64(i), uint64(time.Now().UnixNano())))
 			for n := 0; time.Now().Before(end); n++ {
 				attempt := fmt.Sprintf("%08x%s%06d", rng.Uint32(), rt.name[:2], n)
-				g := groups[rng.IntN(len(groups))]
+				l := groups[w.site.drawZone(rng)]
+				g := l[rng.IntN(len(l))]
 				wg.Go(func() { g.send(attempt, rt) })
 				time.Sleep(time.Duration(rng.ExpFloat64() / rt.perSecond * float64(time.Second)))
 			}
--- a/review/_standin/flood.go
+++ b/review/_standin/flood.go
@@ -10,24 +10,22 @@
 	"time"
 )
 
-// zhaiyk has the figures of zhaiyk-liners.
-var zhaiyk = site{
-	zones: []string{"atyrau-a", "atyrau-b", "atyrau-c", "atyrau-d"}, edgesPerZone: []int{2, 2, 1, 1}, memoryMb: 134,
-	plain: "order-desk", model: "liner-llm", plainRunners: 4, modelRunners: 12, modelQueue: 192, kvCapacity: 229540,
-	routes: []route{
-		{name: "order-place", kind: "unsafe", timeoutMs: 800, goalMs: 300, deadlineMs: 1500, perSecond: 13.9},
-		{name: "look-order", kind: "safe", timeoutMs: 800, goalMs: 300, deadlineMs: 1500, perSecond: 6.4},
-		{name: "tender-review", kind: "streaming", timeoutMs: 6000, goalMs: 800, deadlineMs: 6000, perSecond: 16.5},
-		{name: "form-help", kind: "streaming", timeoutMs: 15000, goalMs: 300, deadlineMs: 15000, perSecond: 39.3, resumable: true},
-	},
-}
+// wholeThreadwell has all model runners and requests of threadwell-midlands.
+var wholeThreadwell = func() site {
+	s := threadwell
+	s.modelRunners = 9
+	s.routes = append([]route{
+		{name: "job-brief", kind: "streaming", timeoutMs: 5000, goalMs: 400, deadlineMs: 5000, perSecond: 32.9},
+	}, threadwell.routes...)
+	return s
+}()
 
 const (
 	// A spell of trouble: all model runners answer floodShare of their requests with bytes without end.
-	spells, spellTime, spellPause = 8, 4 * time.Second, 5 * time.Second
+	spells, spellTime, spellPause = 10, 4 * time.Second, 5 * time.Second
 	floodShare                    = 0.45
-	// floodPiece is sent each floodPause: 8 MB a second for each answer.
-	floodPiece, floodPause = 256 << 10, 32 * time.Millisecond
+	// floodPiece is sent each floodPause: 3.5 MB a second for each answer.
+	floodPiece, floodPause = 256 << 10, 75 * time.Millisecond
 	// restartDelay is the time after which the platform starts a process again.
 	restartDelay = 500 * time.Millisecond
 	watchPause   = 20 * time.Millisecond
@@ -42,13 +40,13 @@
 // playFlood: model runners answer with bytes without end. The platform kills each process whose memory exceeds memoryMb, and
 // starts it again.
 func playFlood(w *world, trouble bool) (int, string) {
-	if err := setUp(w, zhaiyk); err != nil {
+	if err := setUp(w, wholeThreadwell); err != nil {
 		return couldNotRun, err.Error()
 	}
 	begin := time.Now()
 	end := begin.Add(calmTime + spells*(spellTime+spellPause))
 	if trouble {
-		for _, x := range w.runners[zhaiyk.plainRunners:] {
+		for _, x := range w.runners[wholeThreadwell.plainRunners:] {
 			x.spoil = func(_ int, rw http.ResponseWriter, _ *http.Request) bool {
 				if !inSpell(time.Since(begin)) || rand.Float64() >= floodShare {
 					return false
@@ -58,11 +56,11 @@
 			}
 		}
 	}
-	wg := load(w.edges, w.rec, zhaiyk.routes, end)
+	wg := load(w, end)
 	ends := make([]int, len(w.edges))
 	for time.Now().Before(end) {
 		for i, e := range w.edges {
-			if kb := memoryKB(e.cmd.Process.Pid); kb > zhaiyk.memoryMb<<10 {
+			if kb := memoryKB(e.cmd.Process.Pid); kb > wholeThreadwell.memoryMb<<10 {
 				ends[i]++
 				w.rec.note("%s has %d kB and is killed", e.name, kb)
 				if err := w.restart(e); err != nil {
--- a/review/_standin/handover.go
+++ b/review/_standin/handover.go
@@ -34,7 +34,7 @@
 	}
 	now := time.Now()
 	first := now.Truncate(usageWindow).Add(2*usageWindow - beforeWindow)
-	wg := load(w.edges, w.rec, trio.routes, first.Add(rounds*roundTime))
+	wg := load(w, first.Add(rounds*roundTime))
 	for round := range rounds {
 		time.Sleep(time.Until(first.Add(time.Duration(round) * roundTime)))
 		if !trouble {
--- a/review/_standin/unreadable.go
+++ b/review/_standin/unreadable.go
@@ -22,7 +22,7 @@
 	}
 	begin := time.Now()
 	end := begin.Add(calmTime + 2*time.Second + recoverTime + recoverCheck)
-	wg := load(w.edges, w.rec, threadwell.routes, end)
+	wg := load(w, end)
 	time.Sleep(calmTime)
 	killedAt := time.Now()
 	if trouble {
