--- a/review/_standin/flood.go
+++ b/review/_standin/flood.go
@@ -24,8 +24,8 @@
 	// A spell of trouble: all model runners answer floodShare of their requests with bytes without end.
 	spells, spellTime, spellPause = 10, 4 * time.Second, 5 * time.Second
 	floodShare                    = 0.45
-	// floodPiece is sent each floodPause: 3.5 MB a second for each answer.
-	floodPiece, floodPause = 256 << 10, 75 * time.Millisecond
+	// floodPiece is sent each floodPause: 3 MB a second for each answer.
+	floodPiece, floodPause = 256 << 10, 87 * time.Millisecond
 	// restartDelay is the time after which the platform starts a process again.
 	restartDelay = 500 * time.Millisecond
 	watchPause   = 20 * time.Millisecond
