lease: a host that was cut off does not take itself for the last holder of a restored store

Cause: a holder A is cut off, B takes the lease and reports, and the store comes back from a copy in which A still has the lease. A cannot have heard of B, but it counted as the last holder because it knew of no other one. So its grant was marked as a continuation, it kept its copy of the usage record, and froze and reported B's windows again.

Now a host counts as the last holder after a restoration only if its last grant kept all others out until then: a successor waits for the whole term, so nobody can have held the lease between. The store's clients note when they first saw an era, which bounds the time of the restoration. A record from before the restoration, also an own or a released one, lets nobody but that last holder bid without the wait. A holder whose grant ended with its era reads the lease again; with the new rule it could otherwise have been left without a next read.

Ruled out: the tally and the fencing numbers (the second report had the higher number, as it should), and the platform's handling of exact repeats. The logs (Lease, UsageSkipped, UsageReported with Fence) showed both holders of a window.

--- a/internal/catalog/release/publish.go
+++ b/internal/catalog/release/publish.go
@@ -110,11 +110,8 @@
 // nextNumber returns the number of the release after that of head. A store that was restored from a copy has lost the newest
 // releases, and hosts that use them ignore other releases with their numbers. So each era has numbers of its own.
 func nextNumber(head Head, st store.Store) uint64 {
-	next := head.Number + 1
-	if s, ok := st.(interface{ Era() int64 }); ok {
-		next = max(next, uint64(s.Era())*numbersPerEra+1)
-	}
-	return next
+	era, _ := store.CurrentEra(st)
+	return max(head.Number+1, uint64(era)*numbersPerEra+1)
 }
 
 // nextHead returns the head that commits next as the successor of h.
--- a/internal/fleet/lease/core.go
+++ b/internal/fleet/lease/core.go
@@ -41,6 +41,9 @@
 	// era is the era of the store. heldBefore is set if this host was the last holder when the era began.
 	era        int64
 	heldBefore bool
+	// lastFence is the fencing number of this host's last grant, or 0 if the store may have lost a later grant of another
+	// host.
+	lastFence uint64
 
 	// attempt is the number of the last write. sentAt holds, by attempt, the time just before the write was sent, for
 	// the latest maxTrackedAttempts writes.
@@ -85,24 +88,32 @@
 // bits above: the grants that a restored store has lost are of an earlier era, and so have lower numbers.
 const eraFenceBits = 32
 
-// SetEra sets the era of the store, which rises when the store is restored from a copy. The record of a grant may be lost
-// then, and another host may get the lease without waiting for its end, so the grant ends.
-func (c *Core) SetEra(now time.Time, era int64) {
+// SetEra sets the era of the store, which rises when the store is restored from a copy, and a time that is not before the
+// restoration. The record of a grant may be lost then, and another host may get the lease without waiting for its end, so the
+// grant ends.
+func (c *Core) SetEra(now time.Time, era int64, restored time.Time) {
 	if era <= c.era {
 		return
 	}
 	c.era = era
+	if !c.grant.excludesOthers(restored, c.cfg.Term) {
+		c.lastFence = 0
+	}
 	c.hasObserved, c.heldBefore = false, c.wasLastHolder()
 	if c.State() == Held {
 		c.fire(Lose)
+		c.readAt = now
 	}
 	if c.heldBefore && c.State() == Following {
 		c.mustRead, c.readAt, c.hintedAt = true, now, now
 	}
 }
 
-// wasLastHolder reports whether this host held the lease and no other host has held it since, as far as it knows.
-func (c *Core) wasLastHolder() bool { return c.grant.Fence > c.othersFence }
+// wasLastHolder reports whether this host held the lease and no other host can have held it since.
+func (c *Core) wasLastHolder() bool { return c.lastFence > c.othersFence }
+
+// isRestored reports whether the record of s was written in an earlier era, so that later grants may be lost.
+func (c *Core) isRestored(s Snapshot) bool { return s.Record.Fence < uint64(c.era)<<eraFenceBits }
 
 // nextFence returns the fencing number for a bid. It is above all numbers of earlier eras, those included that this host
 // has not seen.
@@ -322,11 +333,13 @@
 	switch {
 	case !s.Found && !fenceKnown:
 		return 0
+	case c.isRestored(s):
+		// The last holder goes first: it alone knows what the store has lost.
+		if c.heldBefore {
+			return 0
+		}
 	case s.Found && s.Record.Released, s.Found && s.Record.Holder == c.self:
 		return 0
-	case c.heldBefore && s.Record.Fence < uint64(c.era)<<eraFenceBits:
-		// This host was the last holder, and no other has got the lease since the store was restored.
-		return 0
 	}
 	if c.cfg.RequireHint {
 		return max(c.cfg.Term, time.Duration(s.Record.Term)) + c.cfg.SuccessorMargin
@@ -376,7 +389,7 @@
 	if !ok || !g.Valid(now) || (c.grant.Fence == g.Fence && sent.Before(c.grant.Sent)) {
 		return
 	}
-	c.grant = g
+	c.grant, c.lastFence = g, g.Fence
 	if c.State() == Held {
 		c.fire(Renew)
 	} else {
--- a/internal/fleet/lease/core_test.go
+++ b/internal/fleet/lease/core_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"strconv"
 	"testing"
 	"time"
 
@@ -21,6 +20,8 @@
 	outage bool
 	// announce lets holders announce their records.
 	announce bool
+	// restoreStore is the probability, for each restoreInterval, that the store is restored from a copy.
+	restoreStore float64
 }
 
 // host is a simulated host. Its clock has its own start and rate.
@@ -32,6 +33,14 @@
 	// pausedUntil is the simulated time until which the host handles no events.
 	pausedUntil time.Duration
 	ticks       int
+	// era is the newest era of a response of the store.
+	era int64
+}
+
+// noteEra handles the era that a response of the store names.
+func (h *host) noteEra(now time.Time, era int64) {
+	h.era = max(h.era, era)
+	h.core.SetEra(now, h.era, now)
 }
 
 // scheduledEvent runs at a simulated time, or after the pause of its host. It has no host if it is not on a host.
@@ -52,6 +61,8 @@
 	events  []scheduledEvent
 	hosts   []*host
 	history []Snapshot
+	// era is the era of the store. Responses name it.
+	era int64
 	// watchEnabled is set when all hosts get a watch event for each write.
 	watchEnabled bool
 	// announcementsUsed counts the announcements that other hosts accepted.
@@ -64,11 +75,17 @@
 	rejectedRequests int
 	overlaps         int
 	loweredFences    int
-	transitions      map[statechart.Transition[State, Event]]bool
+	// holders has the holder of each fencing number. falseContinuations counts the grants whose holder wrongly assumes
+	// that no other host has held the lease since its previous grant, and continuations the other such grants.
+	holders            map[uint64]string
+	falseContinuations int
+	continuations      int
+	transitions        map[statechart.Transition[State, Event]]bool
 }
 
 func newSimulation(t *testing.T, seed uint64, cfg Config, hosts int, f faults) *simulation {
-	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, faults: f, history: []Snapshot{{}}, transitions: map[statechart.Transition[State, Event]]bool{}}
+	sim := &simulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, faults: f, history: []Snapshot{{}}, era: 1, holders: map[uint64]string{}, transitions: map[statechart.Transition[State, Event]]bool{}}
+	sim.scheduleRestorations()
 	for i := range hosts {
 		h := &host{
 			name: fmt.Sprintf("host-%d", i),
@@ -162,8 +179,13 @@
 			return
 		}
 		sim.after(there, nil, func() {
-			s := sim.readStore()
-			done(back, func(now time.Time) []Effect { return h.core.Observe(now, s, true) })
+			s, era := sim.readStore(), sim.era
+			done(back, func(now time.Time) []Effect {
+				if h.noteEra(now, era); era < h.era {
+					return h.core.ReadFailed(now)
+				}
+				return h.core.Observe(now, s, true)
+			})
 		})
 		return
 	}
@@ -180,8 +202,14 @@
 	}
 	sim.after(there, nil, func() {
 		o, version := sim.writeStore(e)
+		era := sim.era
 		if !lost {
-			done(back, func(now time.Time) []Effect { return h.core.WriteDone(now, e, o, version) })
+			done(back, func(now time.Time) []Effect {
+				if h.noteEra(now, era); era < h.era {
+					return h.core.WriteDone(now, e, Lost, "")
+				}
+				return h.core.WriteDone(now, e, o, version)
+			})
 		}
 	})
 }
@@ -199,13 +227,16 @@
 	if sim.chance(sim.faults.rejectWrite) || last.Version != e.Version || (e.Call == CreateCall) == last.Found {
 		return NotWritten, ""
 	}
-	s := Snapshot{Found: true, Record: e.Record, Version: strconv.Itoa(len(sim.history))}
+	s := Snapshot{Found: true, Record: e.Record, Version: fmt.Sprintf("%d/%d", sim.era, len(sim.history))}
 	sim.history = append(sim.history, s)
 	if sim.watchEnabled {
 		for _, h := range sim.hosts {
 			// All events have the same delay, because a watch keeps their order.
 			sim.after(watchDelay, h, func() {
-				sim.step(h, func(now time.Time) []Effect { return h.core.Observe(now, s, false) })
+				sim.step(h, func(now time.Time) []Effect {
+					h.noteEra(now, sim.era)
+					return h.core.Observe(now, s, false)
+				})
 			})
 		}
 	}
@@ -277,11 +308,20 @@
 			continue
 		}
 		valid++
+		sim.checkContinuation(h.name, g)
+		if sim.era > 1 {
+			// A holder that has not heard of a restoration may hold a grant beside a new holder. Receivers reject its
+			// requests, as its fencing number is lower.
+			continue
+		}
 		if h.name != sim.lastHolder && g.Fence <= sim.lastGrant.Fence || g.Fence < sim.lastGrant.Fence {
 			sim.loweredFences++
 		}
 		sim.lastGrant, sim.lastHolder = g, h.name
 	}
+	if sim.era > 1 {
+		return
+	}
 	if valid > 1 {
 		sim.overlaps++
 	}
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -119,8 +119,8 @@
 	Fence uint64
 	// Era is the era of the store in which the lease was granted.
 	Era int64
-	// Continues is set if this host held the lease before, with another fencing number, and no other host has held it since
-	// as far as it knows.
+	// Continues is set if this host held the lease before, with another fencing number, and no other host can have held it
+	// since.
 	Continues bool
 	// Sent is the time just before the granted request was sent. Duration is counted from it.
 	Sent     time.Time
@@ -133,6 +133,12 @@
 	return g.Fence > 0 && now.Sub(g.Sent) < g.Duration && now.Round(0).Sub(g.Sent.Round(0)) < g.Duration
 }
 
+// excludesOthers reports whether no other host can have acquired the lease by t: successors wait for the whole term.
+func (g Grant) excludesOthers(t time.Time, term time.Duration) bool {
+	g.Duration = term
+	return g.Valid(t)
+}
+
 // Call is the kind of a call to the platform's store.
 type Call uint8
 
--- a/internal/fleet/lease/manager.go
+++ b/internal/fleet/lease/manager.go
@@ -172,14 +172,16 @@
 // immediately before each use, because the process may have been paused since an earlier check.
 func (l *Lease) Held(now time.Time) (fence uint64, ok bool) {
 	g := l.grant.Load()
-	if g == nil || l.resigned.Load() || !g.Valid(now) || l.manager.era() > g.Era {
+	if g == nil || l.resigned.Load() || !g.Valid(now) {
+		return 0, false
+	}
+	if era, _ := store.CurrentEra(l.manager.store); era > g.Era {
 		return 0, false
 	}
 	return g.Fence, true
 }
 
-// Continues reports whether the host held the role before its present grant and no other host has held it between, as far
-// as it knows.
+// Continues reports whether the host held the role before its present grant and no other host can have held it between.
 func (l *Lease) Continues() bool {
 	g := l.grant.Load()
 	return g != nil && g.Continues
@@ -309,7 +311,8 @@
 		// The lease was resigned before its campaign started.
 		return
 	}
-	l.core.SetEra(now, m.era())
+	era, since := store.CurrentEra(m.store)
+	l.core.SetEra(now, era, since)
 	before := l.core.State()
 	l.core.SetHeldRoles(m.heldCount())
 	effects := f(now)
@@ -333,14 +336,6 @@
 	}
 }
 
-// era returns the era of the store, 0 if the store is never restored from a copy.
-func (m *Manager) era() int64 {
-	if s, ok := m.store.(interface{ Era() int64 }); ok {
-		return s.Era()
-	}
-	return 0
-}
-
 func (m *Manager) heldCount() int {
 	n := 0
 	for _, l := range m.leases {
--- a/internal/fleet/lease/restore_test.go
+++ b/internal/fleet/lease/restore_test.go
@@ -17,7 +17,7 @@
 
 // run steps a candidate until no call is left, and carries out its calls at once.
 func (s *restoredStore) run(c *lease.Core, now time.Time) {
-	c.SetEra(now, s.era)
+	c.SetEra(now, s.era, now)
 	effects := c.Tick(now)
 	for len(effects) > 0 {
 		e := effects[0]
@@ -104,3 +104,73 @@
 		})
 	}
 }
+
+// TestFormerHolderAfterRestore guards against a host that was cut off while another one held the lease, and that takes itself
+// for the last holder because the store has lost the other's grant.
+func TestFormerHolderAfterRestore(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	cfg := lease.DefaultConfig()
+	const (
+		cutAt      = 10 * time.Second
+		restoredAt = 40 * time.Second
+		step       = 100 * time.Millisecond
+	)
+	tests := map[string]struct {
+		// storeAway is the time before the restoration in which nobody reaches the store.
+		storeAway time.Duration
+		// secondEnds is set if the last holder is lost in the restoration.
+		secondEnds bool
+		// winner is the host that must hold the lease within the time within, and continues whether it may go on with what it
+		// knows.
+		winner    string
+		continues bool
+		within    time.Duration
+	}{
+		"both hosts go on, the last holder gets the lease":            {0, false, "second", true, time.Second},
+		"the same after a moment without the store":                   {2 * time.Second, false, "second", true, time.Second},
+		"the last holder is gone, the former one must not continue":   {0, true, "first", false, 2 * cfg.Term},
+		"the store was away for longer than a term, nobody continues": {cfg.Term + time.Second, false, "", false, 2 * cfg.Term},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := &restoredStore{era: 1}
+			first := lease.NewCore(cfg, "first", rand.New(rand.NewPCG(1, 1)), start)
+			second := lease.NewCore(cfg, "second", rand.New(rand.NewPCG(1, 2)), start.Add(cutAt))
+			for at := time.Duration(0); at < cutAt; at += step {
+				s.run(first, start.Add(at))
+			}
+			copied := s.current
+			for at := cutAt; at < restoredAt-test.storeAway; at += step {
+				s.run(second, start.Add(at))
+			}
+			if first.Grant().Fence == 0 || second.Grant().Fence == 0 {
+				t.Fatalf("fencing numbers %d and %d before the restoration, want both to have held the lease", first.Grant().Fence, second.Grant().Fence)
+			}
+			s.era, s.current = 2, copied
+			hosts := map[string]*lease.Core{"first": first, "second": second}
+			if test.secondEnds {
+				delete(hosts, "second")
+			}
+			for at := restoredAt; at < restoredAt+test.within; at += step {
+				for _, host := range []string{"first", "second"} {
+					c, ok := hosts[host]
+					if !ok {
+						continue
+					}
+					s.run(c, start.Add(at))
+					if c.State() != lease.Held {
+						continue
+					}
+					if test.winner != "" && host != test.winner {
+						t.Fatalf("the %s host holds the lease, want the %s", host, test.winner)
+					}
+					if c.Grant().Continues != test.continues {
+						t.Fatalf("the %s host's grant continues its earlier one: %t, want %t", host, c.Grant().Continues, test.continues)
+					}
+					return
+				}
+			}
+			t.Errorf("no holder %s after the restoration", test.within)
+		})
+	}
+}
--- a/internal/provider/fake/store.go
+++ b/internal/provider/fake/store.go
@@ -47,12 +47,13 @@
 	mu  sync.Mutex
 	seq int
 	// era counts how often the store was restored from a copy.
-	era     int64
-	objects map[string]store.Object
-	history []historyEntry
-	faults  Faults
-	counts  Counts
-	changed chan struct{}
+	era        int64
+	restoredAt time.Time
+	objects    map[string]store.Object
+	history    []historyEntry
+	faults     Faults
+	counts     Counts
+	changed    chan struct{}
 }
 
 // NewStore returns an empty Store.
@@ -94,15 +95,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
+	s.restoredAt = time.Now()
 	s.seq, s.objects, s.history = c.seq, maps.Clone(c.objects), nil
 	s.notify()
 }
 
-// Era returns how often the store was restored from a copy.
-func (s *Store) Era() int64 {
+// Era implements [store.Restorable].
+func (s *Store) Era() (era int64, since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.era
+	return s.era, s.restoredAt
 }
 
 // version returns the version of the state after a number of changes in the present era. The caller holds mu.
--- a/internal/provider/store/client.go
+++ b/internal/provider/store/client.go
@@ -94,8 +94,8 @@
 	baseURL  string
 	http     *http.Client
 	requests atomic.Int64
-	// era is the newest era of a version in a response.
-	era atomic.Int64
+	// eras has the newest era of a version in a response, see [FormatVersion].
+	eras Eras
 	// tokenFile is the path of the file with the bearer token. If it is empty, no token is sent.
 	tokenFile string
 }
@@ -148,25 +148,14 @@
 // Calls returns the number of requests sent. A watch counts as one.
 func (c *Client) Calls() int64 { return c.requests.Load() }
 
-// Era returns the newest era of the store of which a response had a version, see [FormatVersion]. It rises when the store is
-// restored from a copy.
-func (c *Client) Era() int64 { return c.era.Load() }
-
-// noteVersion remembers the era of a version.
-func (c *Client) noteVersion(v string) {
-	for {
-		known := c.era.Load()
-		if era := EraOf(v); era <= known || c.era.CompareAndSwap(known, era) {
-			return
-		}
-	}
-}
+// Era implements [Restorable].
+func (c *Client) Era() (era int64, since time.Time) { return c.eras.Era() }
 
 // objectCall makes a call that returns an object.
 func (c *Client) objectCall(ctx context.Context, method, path, kind, name string, in any) (Object, error) {
 	var w WireObject
 	err := c.call(ctx, method, path, kind, name, in, &w)
-	c.noteVersion(w.Metadata.ResourceVersion)
+	c.eras.Note(EraOf(w.Metadata.ResourceVersion))
 	return FromWire(w), err
 }
 
@@ -181,7 +170,7 @@
 	if err := c.call(ctx, http.MethodGet, CollectionPath(kind), kind, "", nil, &l); err != nil {
 		return nil, "", err
 	}
-	c.noteVersion(l.Metadata.ResourceVersion)
+	c.eras.Note(EraOf(l.Metadata.ResourceVersion))
 	out := make([]Object, 0, len(l.Items))
 	for _, w := range l.Items {
 		out = append(out, FromWire(w))
--- a/internal/usage/usagestore/usagestore.go
+++ b/internal/usage/usagestore/usagestore.go
@@ -74,10 +74,8 @@
 func (cr *CachedRecord) Incomplete() bool { return cr.incomplete }
 
 func (cr *CachedRecord) era() int64 {
-	if s, ok := cr.store.(interface{ Era() int64 }); ok {
-		return s.Era()
-	}
-	return 0
+	era, _ := store.CurrentEra(cr.store)
+	return era
 }
 
 // Load reads the record and returns the counts of open windows in it.
