usagestore: the holder remembers what it has read of the record, not only what it has written

A window could be reported twice with different counts after a restoration of the store.

Cause: a holder keeps the record for the case that the store comes back from an older copy, but only as it last wrote it. Windows that it found frozen were missing: those that it froze by a write without a response, or that an earlier holder froze. If their report got no response either, the holder froze them again with new counts.

Now each load of a complete record is remembered too.

TestLoadedWindowAfterRestore failed before: counts 5 in place of 2.

--- a/internal/usage/usagestore/usagestore.go
+++ b/internal/usage/usagestore/usagestore.go
@@ -38,7 +38,7 @@
 }
 
 // A store that is restored from a copy has an older record: windows that were frozen and reported appear to be open. The
-// process that wrote the lost record still knows it. Another one cannot know what was reported, see
+// process that read or wrote the lost record last still knows it. Another one cannot know what was reported, see
 // [CachedRecord.Incomplete].
 
 // CachedRecord is the lease holder's copy of the [Record]. It must be used by one goroutine only.
@@ -47,8 +47,8 @@
 	version string
 	loaded  bool
 	record  Record
-	// written is what this process has written and nobody else can have changed since; nil if there is none.
-	written *Record
+	// known is what this process has read or written and nobody else can have changed since; nil if there is none.
+	known *Record
 	// incomplete is set if changes of the record may be lost.
 	incomplete bool
 }
@@ -59,12 +59,12 @@
 // Loaded reports whether the copy equals the stored record, as far as this host knows.
 func (cr *CachedRecord) Loaded() bool { return cr.loaded }
 
-// MarkStale marks the copy as stale. If another host may have changed the stored record since this one wrote it, the
+// MarkStale marks the copy as stale. If another host may have changed the stored record since this one read it, the
 // parameter changed is set.
 func (cr *CachedRecord) MarkStale(changed bool) {
 	cr.loaded = false
 	if changed {
-		cr.written = nil
+		cr.known = nil
 	}
 }
 
@@ -97,15 +97,23 @@
 		cr.record.Frozen = map[tally.Window]tally.Counts{}
 	}
 	cr.incomplete = cr.record.Era < cr.era()
-	if cr.incomplete && cr.written != nil {
+	if cr.incomplete && cr.known != nil {
 		cr.incomplete = false
-		maps.Copy(cr.record.Frozen, cr.written.Frozen)
-		cr.record.Reported = max(cr.record.Reported, cr.written.Reported)
+		maps.Copy(cr.record.Frozen, cr.known.Frozen)
+		cr.record.Reported = max(cr.record.Reported, cr.known.Reported)
+	}
+	if !cr.incomplete {
+		cr.remember()
 	}
 	cr.loaded = true
 	return cr.record.Hosts, nil
 }
 
+// remember keeps the copy's windows for the case that the store is restored from a copy that lacks them.
+func (cr *CachedRecord) remember() {
+	cr.known = &Record{Frozen: maps.Clone(cr.record.Frozen), Reported: cr.record.Reported}
+}
+
 // Frozen returns the frozen counts of a window, or false if the window is not frozen.
 func (cr *CachedRecord) Frozen(w tally.Window) (tally.Counts, bool) {
 	c, ok := cr.record.Frozen[w]
@@ -118,8 +126,8 @@
 // SetReported marks a window as reported. The next [CachedRecord.Save] writes this to the store.
 func (cr *CachedRecord) SetReported(w tally.Window) {
 	cr.record.Reported = max(cr.record.Reported, w)
-	if cr.written != nil {
-		cr.written.Reported = max(cr.written.Reported, w)
+	if cr.known != nil {
+		cr.known.Reported = max(cr.known.Reported, w)
 	}
 }
 
@@ -158,7 +166,7 @@
 		return err
 	}
 	cr.version, cr.record, cr.incomplete = o.Version, next, false
-	cr.written = &Record{Frozen: maps.Clone(next.Frozen), Reported: next.Reported}
+	cr.remember()
 	return nil
 }
 
--- a/internal/usage/usagestore/usagestore_test.go
+++ b/internal/usage/usagestore/usagestore_test.go
@@ -121,3 +121,33 @@
 		})
 	})
 }
+
+// TestLoadedWindowAfterRestore guards against a window that is reported with two different counts because the holder froze it
+// by a write without a response, or found it frozen, and the store was restored from a copy in which it is not frozen.
+func TestLoadedWindowAfterRestore(t *testing.T) {
+	ctx := context.Background()
+	convey.Convey("A holder has found a window frozen in the record, and the store is restored from an older copy", t, func() {
+		st := fake.NewStore()
+		cr := usagestore.New(st)
+		load(cr)
+		convey.So(cr.Save(ctx, counts{1: {"org": 1}}, nil), convey.ShouldBeNil)
+		copied := st.Copy()
+		st.SetFaults(fake.Faults{LoseAnswers: 1})
+		convey.So(cr.Save(ctx, counts{2: {"org": 2}}, nil), convey.ShouldNotBeNil)
+		st.SetFaults(fake.Faults{})
+		load(cr)
+		c, ok := cr.Frozen(2)
+		convey.So(ok, convey.ShouldBeTrue)
+		convey.So(c, convey.ShouldResemble, tally.Counts{"org": 2})
+		// The window is reported with these counts here, and the report gets no response.
+		st.Restore(copied)
+		cr.MarkStale(false)
+		load(cr)
+		convey.Convey("its counts stay the same", func() {
+			convey.So(cr.Incomplete(), convey.ShouldBeFalse)
+			convey.So(cr.Save(ctx, counts{2: {"org": 5}}, nil), convey.ShouldBeNil)
+			c, _ := cr.Frozen(2)
+			convey.So(c, convey.ShouldResemble, tally.Counts{"org": 2})
+		})
+	})
+}
