edge: bytes in a stream that are not its next event are not forwarded

Cause: whatever ended with a blank line was forwarded as an event, except lines that began with "HTTP/1.". A server that failed in a stream could put any text there; the stream was then resumed elsewhere after the last event with an ID, so its end looked regular.

The log could not tell such bytes from a reset; ForeignBytes now can.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -162,10 +162,7 @@
 		// Keeps net/http from adding its own User-Agent.
 		h["User-Agent"] = []string{""}
 	}
-	fwd := ForwardHeaders{Remaining: time.Until(t.deadline), Server: s, Urgency: -1, LastEventID: t.reqHeaders.LastEventID}
-	if t.lastEventID != "" {
-		fwd.LastEventID = t.lastEventID
-	}
+	fwd := ForwardHeaders{Remaining: time.Until(t.deadline), Server: s, Urgency: -1, LastEventID: t.resumeAfter()}
 	if t.org != nil {
 		fwd.Organisation = t.org.Name
 	}
@@ -182,6 +179,15 @@
 	}
 }
 
+// resumeAfter returns the ID of the event after which the next server continues the stream, or an empty string for a new
+// stream.
+func (t *transaction) resumeAfter() string {
+	if t.lastEventID != "" {
+		return t.lastEventID
+	}
+	return t.reqHeaders.LastEventID
+}
+
 // forwardBuffered reads the complete response before it forwards any of it. Otherwise a truncated response could look
 // complete to the caller.
 func (t *transaction) forwardBuffered(conn *connection.Conn, resp *http.Response, respHeaders ResponseHeaders) (request.Outcome, bool) {
--- a/internal/entry/edge/codec.go
+++ b/internal/entry/edge/codec.go
@@ -81,4 +81,6 @@
 	EncodeRequest(h http.Header, o ForwardHeaders)
 	// DecodeResponse parses the status and the headers of a backend server's response.
 	DecodeResponse(status int, h http.Header) ResponseHeaders
+	// EventFields returns the names of the fields of a stream's event beside those that text/event-stream defines.
+	EventFields() []string
 }
--- a/internal/entry/edge/stream.go
+++ b/internal/entry/edge/stream.go
@@ -1,12 +1,11 @@
 package edge
 
 import (
-	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"shallotramp/internal/engine/connection"
@@ -21,6 +20,8 @@
 	// writeTimeout limits one write to a caller, so that a caller that does not read cannot occupy a backend
 	// server.
 	writeTimeout = 5 * time.Second
+	// maxLoggedBytes limits how many of the bytes that are no event are logged.
+	maxLoggedBytes = 128
 )
 
 // forwardStream forwards events as they arrive. It sends complete events only: a server may fail in the middle of an
@@ -46,10 +47,11 @@
 	return request.Broken, false
 }
 
-// copyEvents forwards complete events until the stream ends. At the end it returns the bytes of an incomplete event,
-// of which there are none if the stream ended regularly.
+// copyEvents forwards complete events until the stream ends or holds other bytes. At the end it returns the bytes of an
+// incomplete event, of which there are none if the stream ended regularly.
 func (t *transaction) copyEvents(resp *http.Response) ([]byte, error) {
 	rc := http.NewResponseController(t.w)
+	scanner := newEventScanner(t.resumeAfter(), t.proxy.codec.EventFields())
 	buf := make([]byte, 0, readBufferBytes)
 	for {
 		if len(buf) == cap(buf) {
@@ -60,15 +62,17 @@
 		}
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if end := lastEventEnd(buf); end > 0 {
-			if containsResponseHead(buf[:end]) {
-				return buf, errHeadInStream
-			}
-			if err := t.writeEvents(rc, resp.Header, buf[:end]); err != nil {
+		end, scanErr := scanner.scan(buf)
+		if end > 0 {
+			if err := t.writeEvents(rc, resp.Header, buf[:end], scanner); err != nil {
 				return nil, err
 			}
 			buf = buf[:copy(buf, buf[end:])]
 		}
+		if scanErr != nil {
+			t.logEvent(zerolog.WarnLevel, "ForeignBytes").Str("LastEvent", t.lastEventID).Bytes("Bytes", buf[:min(len(buf), maxLoggedBytes)]).Send()
+			return buf, scanErr
+		}
 		if err == io.EOF {
 			return buf, nil
 		}
@@ -78,29 +82,8 @@
 	}
 }
 
-// errHeadInStream means that a server wrote the head of a response into a stream. If the stream has no length, nothing else
-// tells that head from events.
-var errHeadInStream = errors.New("the backend server sent the head of another response inside a stream")
-
-// containsResponseHead reports whether a line of complete events is the status line of a response.
-func containsResponseHead(events []byte) bool {
-	const status = "HTTP/1."
-	return bytes.HasPrefix(events, []byte(status)) || bytes.Contains(events, []byte("\n"+status))
-}
-
-// lastEventEnd returns the offset after the last complete event in b, or 0 if there is none.
-func lastEventEnd(b []byte) int {
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		return i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		return i + 4
-	}
-	return 0
-}
-
-// writeEvents writes complete events to the caller.
-func (t *transaction) writeEvents(rc *http.ResponseController, header http.Header, events []byte) error {
+// writeEvents writes complete events, which scanner has scanned, to the caller.
+func (t *transaction) writeEvents(rc *http.ResponseController, header http.Header, events []byte, scanner *eventScanner) error {
 	if !t.headerSent {
 		t.sendHeader(header)
 	}
@@ -113,9 +96,10 @@
 	if err := rc.Flush(); err != nil {
 		return err
 	}
-	t.eventsSent += bytes.Count(events, []byte("\n\n"))
-	if id := findLastEventID(events); id != "" {
-		t.lastEventID = id
+	t.eventsSent += scanner.events
+	scanner.events = 0
+	if scanner.lastID >= 0 {
+		t.lastEventID = strconv.FormatInt(scanner.lastID, 10)
 	}
 	return nil
 }
@@ -131,22 +115,6 @@
 	t.proxy.metrics.observeFirstEvent(t.route.Name, time.Since(t.arrived))
 }
 
-// findLastEventID returns the ID of the last event that has one, or an empty string.
-func findLastEventID(events []byte) string {
-	const field = "id:"
-	i := bytes.LastIndex(events, []byte("\n"+field))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(events, []byte(field)):
-		i = 0
-	default:
-		return ""
-	}
-	line, _, _ := bytes.Cut(events[i+len(field):], []byte("\n"))
-	return string(bytes.TrimSpace(line))
-}
-
 // recordCompletion updates the metrics and logs the end of a complete stream.
 func (t *transaction) recordCompletion() {
 	t.proxy.metrics.countResponse(http.StatusOK)
