gateway, eventstream: bytes in a model stream that are no event of an engine end the attempt

A caller that had asked for the usage event got any event without choices, such as text that is no JSON. Text with blank lines was dropped, but read for as long as it came: the stream stood still until its deadline.

The checks of a stream's lines move to the package eventstream, where Reader checks lines without keeping them and Scanner checks the events with IDs of the edge command. The gateway reads engines through Reader and takes an event only if it is a JSON object with choices.

--- a/internal/entry/edge/event_test.go
+++ b/internal/engine/eventstream/scanner_test.go
@@ -1,4 +1,4 @@
-package edge
+package eventstream
 
 import (
 	"bytes"
@@ -8,9 +8,9 @@
 	"testing"
 )
 
-// TestEventScanner guards against bytes of a failing server that are forwarded as events, and against events that are taken
+// TestScanner guards against bytes of a failing server that are forwarded as events, and against events that are taken
 // for such bytes.
-func TestEventScanner(t *testing.T) {
+func TestScanner(t *testing.T) {
 	const second = "id: 2\ndata: b\n\n"
 	tests := map[string]struct {
 		in, events string
@@ -45,36 +45,36 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			s := newEventScanner("", []string{"version"})
-			n, err := s.scan([]byte(test.in))
-			if test.in[:n] != test.events || errors.Is(err, errForeignBytes) != test.foreign {
+			s := NewScanner("", Fields{"version"})
+			n, err := s.Scan([]byte(test.in))
+			if test.in[:n] != test.events || errors.Is(err, ErrForeign) != test.foreign {
 				t.Errorf("got the events %q, error %v; want %q, foreign bytes %t", test.in[:n], err, test.events, test.foreign)
 			}
 		})
 	}
 }
 
-// TestEventScannerOfResumedStream guards against events that the caller has already got from an earlier server.
-func TestEventScannerOfResumedStream(t *testing.T) {
+// TestScannerOfResumedStream guards against events that the caller has already got from an earlier server.
+func TestScannerOfResumedStream(t *testing.T) {
 	for last, foreign := range map[string]bool{"": false, "4": false, "5": true, "6": true, "x": false} {
-		_, err := newEventScanner(last, nil).scan([]byte("id: 5\ndata: e\n\n"))
-		if errors.Is(err, errForeignBytes) != foreign {
+		_, err := NewScanner(last, nil).Scan([]byte("id: 5\ndata: e\n\n"))
+		if errors.Is(err, ErrForeign) != foreign {
 			t.Errorf("event 5 after event %q: error %v, want foreign bytes %t", last, err, foreign)
 		}
 	}
 }
 
-// FuzzEventScanner checks that what is accepted are events with increasing IDs, and that it does not depend on how the bytes
+// FuzzScanner checks that what is accepted are events with increasing IDs, and that it does not depend on how the bytes
 // are divided into reads.
-func FuzzEventScanner(f *testing.F) {
+func FuzzScanner(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), uint8(9))
 	f.Add([]byte("id: 1\r\ndata: a\r\n\r\n: ping\r\n\r\n"), uint8(20))
 	f.Add([]byte("id: 1\ndata: a\n\npanic: x\n\nid: 2\n\n"), uint8(16))
 	f.Add([]byte("id: 1\ndata: a\n\nHTTP/1.1 500 x\r\n\r\n"), uint8(20))
 	f.Add([]byte("id: 1\ndata: \x00\n\n\n\n"), uint8(1))
 	f.Fuzz(func(t *testing.T, b []byte, cut uint8) {
-		s := newEventScanner("", nil)
-		n, err := s.scan(b)
+		s := NewScanner("", nil)
+		n, err := s.Scan(b)
 		last := int64(-1)
 		for event := range bytes.SplitAfterSeq(bytes.ReplaceAll(b[:n], []byte("\r\n"), []byte("\n")), []byte("\n\n")) {
 			for line := range strings.Lines(string(event)) {
@@ -90,15 +90,15 @@
 			}
 		}
 		at := min(int(cut), len(b))
-		pieces := newEventScanner("", nil)
-		first, errFirst := pieces.scan(b[:at])
+		pieces := NewScanner("", nil)
+		first, errFirst := pieces.Scan(b[:at])
 		if errFirst != nil && err == nil {
 			t.Fatalf("the first %d bytes of %q are refused, the whole is not", at, b)
 		}
 		if errFirst != nil {
 			return
 		}
-		second, errSecond := pieces.scan(b[first:])
+		second, errSecond := pieces.Scan(b[first:])
 		if first+second != n || (err == nil) != (errSecond == nil) {
 			t.Fatalf("%q in two reads: %d bytes and %v; in one: %d bytes and %v", b, first+second, errSecond, n, err)
 		}
--- a/internal/entry/edge/stream.go
+++ b/internal/entry/edge/stream.go
@@ -3,12 +3,12 @@
 import (
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"shallotramp/internal/engine/connection"
+	"shallotramp/internal/engine/eventstream"
 	"shallotramp/internal/traffic/request"
 )
 
@@ -51,7 +51,8 @@
 // incomplete event, of which there are none if the stream ended regularly.
 func (t *transaction) copyEvents(resp *http.Response) ([]byte, error) {
 	rc := http.NewResponseController(t.w)
-	scanner := newEventScanner(t.resumeAfter(), t.proxy.codec.EventFields())
+	sentBefore := t.eventsSent
+	scanner := eventstream.NewScanner(t.resumeAfter(), t.proxy.codec.EventFields())
 	buf := make([]byte, 0, readBufferBytes)
 	for {
 		if len(buf) == cap(buf) {
@@ -62,11 +63,12 @@
 		}
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		end, scanErr := scanner.scan(buf)
+		end, scanErr := scanner.Scan(buf)
 		if end > 0 {
 			if err := t.writeEvents(rc, resp.Header, buf[:end], scanner); err != nil {
 				return nil, err
 			}
+			t.eventsSent = sentBefore + scanner.Events()
 			buf = buf[:copy(buf, buf[end:])]
 		}
 		if scanErr != nil {
@@ -83,7 +85,7 @@
 }
 
 // writeEvents writes complete events, which scanner has scanned, to the caller.
-func (t *transaction) writeEvents(rc *http.ResponseController, header http.Header, events []byte, scanner *eventScanner) error {
+func (t *transaction) writeEvents(rc *http.ResponseController, header http.Header, events []byte, scanner *eventstream.Scanner) error {
 	if !t.headerSent {
 		t.sendHeader(header)
 	}
@@ -96,11 +98,7 @@
 	if err := rc.Flush(); err != nil {
 		return err
 	}
-	t.eventsSent += scanner.events
-	scanner.events = 0
-	if scanner.lastID >= 0 {
-		t.lastEventID = strconv.FormatInt(scanner.lastID, 10)
-	}
+	t.lastEventID = scanner.LastID()
 	return nil
 }
 
--- a/internal/entry/gateway/event.go
+++ b/internal/entry/gateway/event.go
@@ -19,21 +19,26 @@
 	finished bool
 }
 
-// parseEvent parses an event in one pass over its JSON.
-func parseEvent(data string) streamEvent {
-	e := streamEvent{textOnly: true}
-	gjson.Parse(data).ForEach(func(k, v gjson.Result) bool {
+// parseEvent parses an event. It returns false if data is no event of an engine: these are JSON objects that have choices.
+func parseEvent(data string) (e streamEvent, ok bool) {
+	if !gjson.Valid(data) {
+		return e, false
+	}
+	e.textOnly = true
+	parsed := gjson.Parse(data)
+	parsed.ForEach(func(k, v gjson.Result) bool {
 		switch k.Str {
 		case "id":
 			e.id = v
 		case "usage":
 			e.usage = v
 		case "choices":
+			ok = v.IsArray()
 			e.parseChoices(v)
 		}
 		return true
 	})
-	return e
+	return e, ok && parsed.IsObject()
 }
 
 func (e *streamEvent) parseChoices(list gjson.Result) {
--- a/internal/entry/gateway/forward.go
+++ b/internal/entry/gateway/forward.go
@@ -10,6 +10,7 @@
 	"github.com/tidwall/sjson"
 	"github.com/tmaxmax/go-sse"
 
+	"shallotramp/internal/engine/eventstream"
 	"shallotramp/internal/traffic/request"
 )
 
@@ -28,7 +29,7 @@
 func (g *Gateway) forwardStream(ctx context.Context, c *call, resp *http.Response, res *request.Result) *Fault {
 	_, span := g.tracer.Start(ctx, "relay")
 	defer span.End()
-	s := &streamForwarder{g: g, c: c, res: res, rc: http.NewResponseController(c.w), body: resp.Body, priorTokens: c.response.tokens}
+	s := &streamForwarder{g: g, c: c, res: res, rc: http.NewResponseController(c.w), body: eventstream.NewReader(resp.Body, nil), priorTokens: c.response.tokens}
 	res.Outcome = request.Broken
 	for ev, err := range sse.Read(s, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
@@ -37,7 +38,12 @@
 		if ev.Data == endOfStream {
 			return s.finish()
 		}
-		if s.forwardEvent(ev.Data) != nil {
+		e, ok := parseEvent(ev.Data)
+		if !ok {
+			g.log.Warn().Str("Server", c.attempt.Server).Str("Request", string(c.req.ID)).Msg("backend server sent bytes in a stream that are no event of an engine; connection closed")
+			return nil
+		}
+		if s.forwardEvent(ev.Data, e) != nil {
 			// The caller has disconnected or reads too slowly. The body of the backend response is closed on
 			// return, which cancels the generation on the engine.
 			res.Outcome = request.Cancelled
@@ -88,8 +94,7 @@
 	return s.writeErr
 }
 
-func (s *streamForwarder) forwardEvent(data string) error {
-	e := parseEvent(data)
+func (s *streamForwarder) forwardEvent(data string, e streamEvent) error {
 	s.readUsage(e.usage)
 	if e.choices == 0 {
 		return s.forwardUsageEvent(data)
--- a/internal/entry/gateway/response_test.go
+++ b/internal/entry/gateway/response_test.go
@@ -138,3 +138,79 @@
 		_ = l.Close() // No request is open.
 	}
 }
+
+// junkWriter passes on a number of writes and then writes junk, again and again until the caller closes the connection.
+type junkWriter struct {
+	http.ResponseWriter
+	left int
+	junk string
+}
+
+func (w *junkWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *junkWriter) Write(b []byte) (int, error) {
+	if w.left--; w.left >= 0 {
+		return w.ResponseWriter.Write(b)
+	}
+	for {
+		if _, err := io.WriteString(w.ResponseWriter, w.junk); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// TestForeignBytesInModelStream guards against bytes that are no event of the engine and that a caller finds in its stream,
+// or that keep the stream open until its deadline.
+func TestForeignBytesInModelStream(t *testing.T) {
+	tests := map[string]string{
+		"a stack trace with blank lines":   "panic: index out of range [64]\n\ngoroutine 41 [running]:\nmain.step(0x40)\n\n",
+		"an event that is no JSON":         "data: out of order\n\n",
+		"an event with an error":           "data: {\"error\":\"out of order\"}\n\n",
+		"an event that is no object":       "data: [\"out of order\"]\n\n",
+		"an event that ends early":         "data: {\"choices\":[],\"out of order\n\n",
+		"a line that is no field":          "out of order\n",
+		"binary zeros":                     "\x00\x00\x00\n\n",
+		"text without a line end":          strings.Repeat("out of order ", 100),
+		"the head of another response":     "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 12\r\n\r\nout of order",
+		"an event with choices of no kind": "data: {\"choices\":\"out of order\"}\n\n",
+	}
+	for name, junk := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGatewayWithPolicy(t, scheduler.New(1))
+			g.set.Routes["m"].Retry.Attempts = 3
+			var attempts atomic.Int32
+			engine := g.engines[0]
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost && attempts.Add(1) == 1 {
+					w = &junkWriter{w, 5, junk}
+				}
+				engine.ServeHTTP(w, r)
+			}))
+			defer srv.Close()
+			for _, b := range g.set.BackendServers {
+				if b.Pool == "engines" {
+					b.Address = addr(srv)
+				}
+			}
+			g.publish(2)
+			prompt := "tokens=40"
+			request := strings.Replace(chat(prompt, true), `{`, `{"stream_options":{"include_usage":true},`, 1)
+			res, body := g.post("/v1/chat/completions", secretA, request)
+			var text strings.Builder
+			for _, line := range strings.Split(body, "\n") {
+				if data, ok := strings.CutPrefix(line, "data: "); ok && data != "[DONE]" {
+					text.WriteString(gjson.Get(data, "choices.0.delta.content").String())
+				}
+			}
+			if res.StatusCode != http.StatusOK || text.String() != wantText(prompt, 40) || !strings.HasSuffix(body, "data: [DONE]\n\n") {
+				t.Errorf("status %d, text %q; want %q and a regular end", res.StatusCode, text.String(), wantText(prompt, 40))
+			}
+			if strings.Contains(body, "out of order") || strings.Contains(body, "panic") {
+				t.Errorf("the caller got bytes that are no event: %q", body)
+			}
+			if n := attempts.Load(); n != 2 {
+				t.Errorf("%d attempts, want 2", n)
+			}
+		})
+	}
+}
