platform, store: an object that nobody can read does not hide the others of its page

Cause: a list or a change was decoded at once. encoding/json refuses values nested over 10,000 levels deep, and with them the whole response. Changes that held one object of another type counted as expired, and a page of nothing but such objects ended a list early.

What cannot be read keeps its name and loses its content, so hosts do not pass it on either.

Numbers too large and ports out of range were refused one by one before.

--- a/internal/provider/store/client.go
+++ b/internal/provider/store/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
 
 	"shallotramp/internal/provider/transport"
 )
@@ -166,18 +167,38 @@
 
 // List implements [Store].
 func (c *Client) List(ctx context.Context, kind string) ([]Object, string, error) {
-	var l WireList
-	if err := c.call(ctx, http.MethodGet, CollectionPath(kind), kind, "", nil, &l); err != nil {
+	var body json.RawMessage
+	if err := c.call(ctx, http.MethodGet, CollectionPath(kind), kind, "", nil, &body); err != nil {
 		return nil, "", err
 	}
+	items, rest, err := SplitPage(body, "items")
+	var l WireList
+	if err == nil {
+		err = json.Unmarshal(rest, &l)
+	}
+	if err != nil {
+		return nil, "", &Error{Reason: Unavailable, Kind: kind, Cause: err}
+	}
 	c.eras.Note(EraOf(l.Metadata.ResourceVersion))
-	out := make([]Object, 0, len(l.Items))
-	for _, w := range l.Items {
-		out = append(out, FromWire(w))
+	out := make([]Object, 0, len(items))
+	for _, raw := range items {
+		out = append(out, decodeWireObject(raw, kind))
 	}
 	return out, l.Metadata.ResourceVersion, nil
 }
 
+// decodeWireObject decodes an object of a list. Of an object that cannot be read, such as one that another client wrote, it
+// returns the name and the version without the content.
+func decodeWireObject(raw json.RawMessage, kind string) Object {
+	var w WireObject
+	if CheckReadable(raw) == nil && json.Unmarshal(raw, &w) == nil {
+		return FromWire(w)
+	}
+	return Object{
+		Kind: kind, Name: gjson.GetBytes(raw, "metadata.name").String(), Version: gjson.GetBytes(raw, "metadata.resourceVersion").String(),
+	}
+}
+
 // Create implements [Store].
 func (c *Client) Create(ctx context.Context, o Object) (Object, error) {
 	return c.objectCall(ctx, http.MethodPost, CollectionPath(o.Kind), o.Kind, o.Name, ToWire(o))
@@ -256,6 +277,12 @@
 	if out == nil {
 		return nil
 	}
+	if raw, ok := out.(*json.RawMessage); ok {
+		if *raw, err = io.ReadAll(io.LimitReader(res.Body, maxResponseBytes)); err != nil {
+			return &Error{Reason: Unavailable, Kind: kind, Name: name, Cause: err}
+		}
+		return nil
+	}
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxResponseBytes)).Decode(out); err != nil {
 		return &Error{Reason: Unavailable, Kind: kind, Name: name, Cause: err}
 	}
--- a/internal/provider/store/client_test.go
+++ b/internal/provider/store/client_test.go
@@ -118,3 +118,31 @@
 		t.Errorf("a call without the token file returned %v, want Invalid", err)
 	}
 }
+
+// TestListWithUnreadableObject guards against one object that nobody can read and that hides the others of its list.
+func TestListWithUnreadableObject(t *testing.T) {
+	for name, spec := range map[string]string{
+		"nested deeply": strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001),
+		"not UTF-8":     "{\"V\":\"\xff\"}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				object := func(name, spec string) string {
+					return `{"kind":"Thing","metadata":{"name":"` + name + `","resourceVersion":"7"},"spec":` + spec + `}`
+				}
+				_, _ = w.Write([]byte(`{"metadata":{"resourceVersion":"9"},"items":[` + object("odd", spec) + "," + object("a", `{"V":"1"}`) + `]}`))
+			}))
+			defer srv.Close()
+			list, version, err := store.NewClient(srv.URL).List(t.Context(), "Thing")
+			if err != nil || version != "9" || len(list) != 2 {
+				t.Fatalf("%d objects, version %q, error %v; want 2 objects", len(list), version, err)
+			}
+			if list[0].Name != "odd" || list[0].Version != "7" || len(list[0].Spec) > 0 {
+				t.Errorf("the unreadable object is %+v, want its name and version without content", list[0])
+			}
+			if list[1].Name != "a" || string(list[1].Spec) != `{"V":"1"}` {
+				t.Errorf("the other object is %+v", list[1])
+			}
+		})
+	}
+}
