edge: buffered responses draw from one budget of memory

Cause: up to 16 MiB of each response were kept, and up to 1 MiB of each stream's next event. Nothing bounded their sum.

A response whose status says that the server failed is now kept up to 64 KiB; beyond that it is a failure without a body.

--- a/internal/command/cli/edge.go
+++ b/internal/command/cli/edge.go
@@ -29,6 +29,8 @@
 	// memoryLimitRatio is the Go runtime's soft memory limit as a part of the process's memory limit. Above it, the
 	// garbage collector runs more often, so that the process stays below its limit.
 	memoryLimitRatio = 0.7
+	// bufferRatio is the part of the memory limit that buffered responses may use.
+	bufferRatio = 0.25
 )
 
 // EdgeCommand runs a host on the users' platform.
@@ -88,8 +90,9 @@
 	return edgehost.Config{
 		Host: settings.Host, Zone: settings.Zone, IP: settings.IP, CallersAddr: settings.CallersAddr, ReadyAddr: settings.ReadyAddr,
 		MetricsAddr: netip.AddrPortFrom(settings.IP, c.MetricsPort), FleetPort: settings.FleetPort, Seeds: settings.Seeds, LinkMbps: settings.LinkMbps, FirstStart: settings.FirstStart,
-		Retry: placement.RetryLimits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow},
-		Grace: b.Grace, ApplyTimeout: b.ApplyTimeout, EntryLifetime: settings.EntryLifetime, LeaseTerm: leaseTermPercent * b.LeaseDuration / 100, UsageWindow: b.UsageWindow, UsageDue: b.UsageDue,
+		BufferBytes: int64(bufferRatio * float64(settings.MemoryBytes)),
+		Retry:       placement.RetryLimits{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow},
+		Grace:       b.Grace, ApplyTimeout: b.ApplyTimeout, EntryLifetime: settings.EntryLifetime, LeaseTerm: leaseTermPercent * b.LeaseDuration / 100, UsageWindow: b.UsageWindow, UsageDue: b.UsageDue,
 		ReportsUsage: settings.ReportsUsage, OrdersServers: settings.OrdersServers,
 	}
 }
--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -13,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"shallotramp/internal/engine/bodybuffer"
 	"shallotramp/internal/engine/connection"
 	"shallotramp/internal/fleet/backend"
 	"shallotramp/internal/traffic/dispatch"
@@ -20,11 +20,12 @@
 	"shallotramp/internal/traffic/route"
 )
 
-// maxResponseBytes limits a response that is buffered before it is forwarded.
-const maxResponseBytes = 16 << 20
-
-// errResponseTooLarge means that a response that is to be buffered has more bytes than maxResponseBytes.
-var errResponseTooLarge = errors.New("the response of the backend server is too large")
+const (
+	// maxResponseBytes limits a response that is buffered before it is forwarded, and maxFailureBytes one that says that
+	// the server failed.
+	maxResponseBytes = 16 << 20
+	maxFailureBytes  = 64 << 10
+)
 
 // errNoID means that a response without an ID came on a connection that had carried another request. It may be a second
 // response to that request.
@@ -191,20 +192,28 @@
 // forwardBuffered reads the complete response before it forwards any of it. Otherwise a truncated response could look
 // complete to the caller.
 func (t *transaction) forwardBuffered(conn *connection.Conn, resp *http.Response, respHeaders ResponseHeaders) (request.Outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	_ = resp.Body.Close() // ReadAll has already returned any read error.
-	if len(body) > maxResponseBytes {
-		err = errResponseTooLarge
+	limit := maxResponseBytes
+	if resp.StatusCode >= http.StatusInternalServerError {
+		limit = maxFailureBytes
 	}
+	buf := t.proxy.buffers.NewBuffer()
+	err := buf.ReadAll(resp.Body, limit)
+	_ = resp.Body.Close() // ReadAll has already returned any read error.
 	if err != nil {
+		buf.Release()
 		conn.Close()
+		t.logEvent(zerolog.WarnLevel, "ResponseUnread").Int("Status", resp.StatusCode).Err(err).Send()
 		if t.ctx.Err() != nil {
 			t.handleCancelledAttempt(true)
 			return request.Cancelled, true
 		}
 		t.countUsage()
+		if resp.StatusCode >= http.StatusInternalServerError && errors.Is(err, bodybuffer.ErrTooLarge) {
+			return request.Failed, false
+		}
 		return request.Broken, false
 	}
+	t.buffers = append(t.buffers, buf)
 	t.proxy.pool.Put(conn)
 	if respHeaders.NotRun {
 		t.refusedOn = append(t.refusedOn, conn)
@@ -215,7 +224,7 @@
 		// The caller has the begin of a stream, which nothing but the rest of that stream may follow.
 		return request.Failed, false
 	}
-	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: buf.Bytes()}
 	switch {
 	case resp.StatusCode < http.StatusMultipleChoices && !respHeaders.Sealed:
 		return request.Broken, false
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"shallotramp/internal/engine/bodybuffer"
 	"shallotramp/internal/engine/connection"
 	"shallotramp/internal/fleet/backend"
 	"shallotramp/internal/traffic/dispatch"
@@ -37,6 +38,8 @@
 	usage   UsageCounter
 	metrics *proxyMetrics
 	tracer  trace.Tracer
+	// buffers is the memory for responses that are buffered.
+	buffers *bodybuffer.Budget
 
 	table   atomic.Pointer[route.Table]
 	servers atomic.Pointer[map[string]backend.Server]
@@ -55,6 +58,18 @@
 // WithUsage counts the requests that started to run with u.
 func WithUsage(u UsageCounter) Option { return func(p *Proxy) { p.usage = u } }
 
+// defaultBufferBytes is the memory for buffered responses if it is not set.
+const defaultBufferBytes = 64 << 20
+
+// WithBufferBytes sets the memory for all responses that are buffered at the same time. The default applies if n is 0.
+func WithBufferBytes(n int64) Option {
+	return func(p *Proxy) {
+		if n > 0 {
+			p.buffers = bodybuffer.NewBudget(n)
+		}
+	}
+}
+
 // WithLog logs the decisions about requests to l.
 func WithLog(l zerolog.Logger) Option { return func(p *Proxy) { p.log = l } }
 
@@ -66,7 +81,7 @@
 // New returns a Proxy of a host in the given availability zone. The policy in loop decides about its requests.
 // The Proxy responds with status 503 until [Proxy.SetTable] is called.
 func New(zone string, codec Codec, loop *dispatch.Loop, opts ...Option) *Proxy {
-	p := &Proxy{zone: zone, codec: codec, loop: loop, log: zerolog.Nop(), usage: noopUsageCounter{}, metrics: newProxyMetrics(), tracer: otel.Tracer("shallotramp/edge")}
+	p := &Proxy{zone: zone, codec: codec, loop: loop, log: zerolog.Nop(), usage: noopUsageCounter{}, metrics: newProxyMetrics(), tracer: otel.Tracer("shallotramp/edge"), buffers: bodybuffer.NewBudget(defaultBufferBytes)}
 	p.pool = connection.NewPool(p.onDial)
 	p.servers.Store(&map[string]backend.Server{})
 	p.serversVersion.Store(new(string))
@@ -153,7 +168,9 @@
 	lastEventID string
 	// lastFailure is the latest error response of a backend server.
 	lastFailure *bufferedResponse
-	attempts    int
+	// buffers hold responses until the request is over.
+	buffers  []*bodybuffer.Buffer
+	attempts int
 	// mayHaveRun reports whether a backend server received the request and did not state that it has not run it.
 	mayHaveRun bool
 	// refusedOn are the connections on which a server has refused the request. A faulty server may write the refusal once
@@ -183,9 +200,17 @@
 	defer span.End()
 	cancel := t.setDeadline(ctx)
 	defer cancel()
+	defer t.releaseBuffers()
 	t.run()
 }
 
+// releaseBuffers frees the memory of buffered responses.
+func (t *transaction) releaseBuffers() {
+	for _, b := range t.buffers {
+		b.Release()
+	}
+}
+
 // admit finds the request's route and organisation and reads its body. It returns nil if the request may proceed.
 func (t *transaction) admit() *errorResponse {
 	table := t.proxy.table.Load()
--- a/internal/entry/edge/endless_test.go
+++ b/internal/entry/edge/endless_test.go
@@ -65,3 +65,95 @@
 		})
 	}
 }
+
+// TestManyBodiesWithoutEnd guards against responses of failing servers that are kept, each up to its limit, until the host
+// has no memory left. Each of them is open at the same time.
+func TestManyBodiesWithoutEnd(t *testing.T) {
+	const (
+		requests, bodyBytes = 40, 1000 << 10
+		bufferBytes         = 8 << 20
+	)
+	tests := map[string]string{
+		"failures":                "HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\n\r\n",
+		"successes":               "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+		"a stream of one event":   "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: ",
+		"a stream of many events": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: ",
+	}
+	for name, head := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						_, _ = io.WriteString(c, head)
+						for range bodyBytes / 4096 {
+							if _, err := io.WriteString(c, strings.Repeat("x", 4096)); err != nil {
+								break
+							}
+						}
+						<-ctx.Done() // Until then the connection stays open, as if more bytes followed.
+						_ = c.Close()
+					}()
+				}
+			}()
+			p := New("z", noFields{}, nil, WithBufferBytes(bufferBytes))
+			kind := route.Unsafe
+			if strings.Contains(name, "stream") {
+				kind = route.Stream
+			}
+			ended := make(chan struct{}, requests)
+			for range requests {
+				go func() {
+					defer func() { ended <- struct{}{} }()
+					tx := &transaction{proxy: p, w: httptest.NewRecorder(), ctx: ctx, arrived: time.Now(), route: &route.Route{Kind: kind}, usageCounted: true}
+					conn, err := p.pool.Get(ctx, netip.MustParseAddrPort(l.Addr().String()), true)
+					if err != nil {
+						return
+					}
+					resp, err := conn.Do(ctx, httptest.NewRequest(http.MethodPost, "http://a.example/x", nil), nil, func(*http.Response) bool { return true })
+					if err != nil {
+						return
+					}
+					if kind == route.Stream {
+						tx.headerSent = true // The event loop of this test is nil.
+						_, _ = tx.copyEvents(resp)
+						return
+					}
+					_, _ = tx.forwardBuffered(conn, resp, ResponseHeaders{Sealed: true})
+				}()
+			}
+			// The bodies that the proxy keeps are those of the requests that have not ended.
+			open := requests
+			for timeout := time.After(10 * time.Second); open*bodyBytes > bufferBytes; {
+				select {
+				case <-ended:
+					open--
+					continue
+				case <-timeout:
+				}
+				break
+			}
+			cancel()
+			if open*bodyBytes > bufferBytes {
+				t.Errorf("%d of %d bodies of %d bytes are kept, want at most %d bytes", open, requests, bodyBytes, bufferBytes)
+			}
+			for ; open > 0; open-- {
+				<-ended
+			}
+		})
+	}
+}
+
+// noFields is a codec of a platform whose events have the standard fields only.
+type noFields struct{ Codec }
+
+func (noFields) EventFields() []string { return nil }
--- a/internal/entry/edge/stream.go
+++ b/internal/entry/edge/stream.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"shallotramp/internal/engine/connection"
@@ -13,8 +14,6 @@
 )
 
 const (
-	// readBufferBytes is the initial size of the read buffer, which holds several events.
-	readBufferBytes = 4 << 10
 	// maxEventBytes limits the size of one event.
 	maxEventBytes = 1 << 20
 	// writeTimeout limits one write to a caller, so that a caller that does not read cannot occupy a backend
@@ -31,10 +30,10 @@
 		conn.Close()
 		return request.Broken, false
 	}
-	rest, err := t.copyEvents(resp)
+	complete, err := t.copyEvents(resp)
 	_ = resp.Body.Close() // copyEvents has already returned any read error.
 	switch {
-	case err == nil && len(rest) == 0 && t.headerSent:
+	case complete && t.headerSent:
 		t.proxy.pool.Put(conn)
 		t.recordCompletion()
 		return request.Completed, true
@@ -44,42 +43,40 @@
 		return request.Cancelled, true
 	}
 	conn.Close()
+	if err != nil && !errors.Is(err, eventstream.ErrForeign) {
+		t.logEvent(zerolog.WarnLevel, "ResponseUnread").Int("Status", resp.StatusCode).Err(err).Send()
+	}
 	return request.Broken, false
 }
 
-// copyEvents forwards complete events until the stream ends or holds other bytes. At the end it returns the bytes of an
-// incomplete event, of which there are none if the stream ended regularly.
-func (t *transaction) copyEvents(resp *http.Response) ([]byte, error) {
+// copyEvents forwards complete events until the stream ends or holds other bytes. It reports whether the stream ended after a
+// complete event.
+func (t *transaction) copyEvents(resp *http.Response) (complete bool, err error) {
 	rc := http.NewResponseController(t.w)
 	sentBefore := t.eventsSent
 	scanner := eventstream.NewScanner(t.resumeAfter(), t.proxy.codec.EventFields())
-	buf := make([]byte, 0, readBufferBytes)
+	buf := t.proxy.buffers.NewBuffer()
+	defer buf.Release()
 	for {
-		if len(buf) == cap(buf) {
-			if len(buf) >= maxEventBytes {
-				return buf, io.ErrShortBuffer
-			}
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		end, scanErr := scanner.Scan(buf)
+		err := buf.ReadOnce(resp.Body, maxEventBytes)
+		end, scanErr := scanner.Scan(buf.Bytes())
 		if end > 0 {
-			if err := t.writeEvents(rc, resp.Header, buf[:end], scanner); err != nil {
-				return nil, err
+			if err := t.writeEvents(rc, resp.Header, buf.Bytes()[:end], scanner); err != nil {
+				return false, err
 			}
 			t.eventsSent = sentBefore + scanner.Events()
-			buf = buf[:copy(buf, buf[end:])]
+			buf.Discard(end)
 		}
 		if scanErr != nil {
-			t.logEvent(zerolog.WarnLevel, "ForeignBytes").Str("LastEvent", t.lastEventID).Bytes("Bytes", buf[:min(len(buf), maxLoggedBytes)]).Send()
-			return buf, scanErr
+			foreign := buf.Bytes()
+			t.logEvent(zerolog.WarnLevel, "ForeignBytes").Str("LastEvent", t.lastEventID).Bytes("Bytes", foreign[:min(len(foreign), maxLoggedBytes)]).Send()
+			return false, scanErr
 		}
 		if err == io.EOF {
-			return buf, nil
+			return len(buf.Bytes()) == 0, nil
 		}
 		if err != nil {
-			return buf, err
+			return false, err
 		}
 	}
 }
--- a/internal/entry/edgehost/host.go
+++ b/internal/entry/edgehost/host.go
@@ -71,6 +71,8 @@
 	// FirstStart is set while all hosts of the deployment start together for the first time, before there are requests.
 	FirstStart bool
 	Retry      placement.RetryLimits
+	// BufferBytes is the memory for responses that are buffered before they are forwarded.
+	BufferBytes int64
 	// Grace is the time between the signal to stop and the moment at which the process is killed.
 	Grace time.Duration
 	// ApplyTimeout is the time within which a new configuration must take effect. A watch request to the store lasts
@@ -170,7 +172,7 @@
 	}
 	h.policy = placement.New(uint64(time.Now().UnixNano()), placement.WithZone(cfg.Zone), placement.WithHost(cfg.Host), placement.WithRetryLimits(cfg.Retry))
 	h.loop = dispatch.NewLoop(h.policy)
-	h.proxy = edge.New(cfg.Zone, p.Codec, h.loop, edge.WithLog(logs.Requests), edge.WithUsage(usageCounter{h}))
+	h.proxy = edge.New(cfg.Zone, p.Codec, h.loop, edge.WithLog(logs.Requests), edge.WithUsage(usageCounter{h}), edge.WithBufferBytes(cfg.BufferBytes))
 	h.gossip = gossip.New(gossip.Self{Host: h.processID, Zone: cfg.Zone, Addr: cfg.IP, Port: cfg.FleetPort, Seeds: cfg.Seeds, LinkMbps: cfg.LinkMbps}, h.fillPacket, h.handlePacket, gossip.WithErrorHandler(h.logGossipFailure))
 	h.feed = feed.New(cfg.ApplyTimeout)
 	newSource := func() *feed.Source {
