edge, edgehost: a stopping host answers the requests that are left, and takes none late

What could happen here: - a request whose head came early and whose body came late was passed on to a server whenever the body was complete; - with a grace under 3.5 s the host never refused new requests at all; - requests that waited for a server, and calls still at one, were cut without an answer at the end.

Now the host checks again after it has read a body, and refuses new requests from half of the time that it has for draining, if that is earlier than 2.8 s. Shortly before the end, the requests that are left get an answer: 503 if they have not run, 504 if they may have. Only streams that have begun are cut.

--- a/internal/entry/edge/attempt.go
+++ b/internal/entry/edge/attempt.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -138,14 +137,14 @@
 	return res, false
 }
 
-// handleCancelledAttempt ends a request whose caller disconnected or whose deadline passed during an attempt. If the
+// handleCancelledAttempt ends a request whose context ended during an attempt. If the
 // connection has to be aborted, it only sets abortConn: the panic that aborts the handler must not come before run
 // has reported the end of the attempt to the policy.
 func (t *transaction) handleCancelledAttempt(sent bool) {
 	if sent && t.route.Kind != route.Stream {
 		t.countUsage()
 	}
-	if errors.Is(context.Cause(t.ctx), errTimeout) && !t.headerSent {
+	if t.callerWaits() && !t.headerSent {
 		t.handleContextEnd()
 		return
 	}
--- a/internal/entry/edge/edge.go
+++ b/internal/entry/edge/edge.go
@@ -48,6 +48,9 @@
 	draining       atomic.Bool
 	refusingNew    atomic.Bool
 	openRequests   atomic.Int64
+	// ended is done when all open requests must end, see [Proxy.EndRequests].
+	ended       context.Context
+	endRequests context.CancelFunc
 	// sequence makes the request IDs unique within the process.
 	sequence atomic.Uint64
 }
@@ -82,6 +85,7 @@
 // The Proxy responds with status 503 until [Proxy.SetTable] is called.
 func New(zone string, codec Codec, loop *dispatch.Loop, opts ...Option) *Proxy {
 	p := &Proxy{zone: zone, codec: codec, loop: loop, log: zerolog.Nop(), usage: noopUsageCounter{}, metrics: newProxyMetrics(), tracer: otel.Tracer("shallotramp/edge"), buffers: bodybuffer.NewBudget(defaultBufferBytes)}
+	p.ended, p.endRequests = context.WithCancel(context.Background())
 	p.pool = connection.NewPool(p.onDial)
 	p.servers.Store(&map[string]backend.Server{})
 	p.serversVersion.Store(new(string))
@@ -145,6 +149,10 @@
 // RefuseNew refuses new requests with status 503, so that another host can take them.
 func (p *Proxy) RefuseNew() { p.refusingNew.Store(true) }
 
+// EndRequests ends the open requests, because the process is about to end: their callers get an answer, which says whether the
+// request may have run. A stream that has begun is cut.
+func (p *Proxy) EndRequests() { p.endRequests() }
+
 // transaction is the state of one caller's request until its response is complete.
 type transaction struct {
 	proxy      *Proxy
@@ -218,8 +226,8 @@
 	if table == nil {
 		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfterNoConfig, cause: "the host has not loaded its configuration yet; send the request again"}
 	}
-	if t.proxy.refusingNew.Load() {
-		return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfterStopping, cause: "the host is stopping; send the request again"}
+	if e := t.refuseIfStopping(); e != nil {
+		return e
 	}
 	headers, err := t.proxy.codec.DecodeRequest(t.r.Header)
 	if err != nil {
@@ -234,10 +242,21 @@
 			return &errorResponse{status: http.StatusUnauthorized, cause: "the API key is unknown"}
 		}
 	}
-	return t.readBody(table.Limits)
+	if e := t.readBody(table.Limits); e != nil {
+		return e
+	}
+	return t.refuseIfStopping() // Reading the body may have taken long.
+}
+
+// refuseIfStopping returns a refusal if the host takes no new requests any more.
+func (t *transaction) refuseIfStopping() *errorResponse {
+	if !t.proxy.refusingNew.Load() {
+		return nil
+	}
+	return &errorResponse{status: http.StatusServiceUnavailable, retryAfter: retryAfterStopping, cause: "the host is stopping; send the request again"}
 }
 
-// setDeadline bounds the request by the shorter of the caller's timeout and the route's.
+// setDeadline bounds the request by the shorter of the caller's timeout and the route's, and by the end of the host.
 func (t *transaction) setDeadline(ctx context.Context) context.CancelFunc {
 	timeout := t.route.Timeout
 	if t.reqHeaders.Timeout > 0 && (timeout <= 0 || t.reqHeaders.Timeout < timeout) {
@@ -248,8 +267,14 @@
 	}
 	t.deadline = t.arrived.Add(timeout)
 	ctx, cancel := context.WithDeadlineCause(ctx, t.deadline, errTimeout)
+	ctx, end := context.WithCancelCause(ctx)
+	unlink := context.AfterFunc(t.proxy.ended, func() { end(errStopping) })
 	t.ctx = ctx
-	return cancel
+	return func() {
+		unlink()
+		end(nil)
+		cancel()
+	}
 }
 
 // run submits the request to the policy and carries out its decisions until the caller has a response.
--- a/internal/entry/edge/fail.go
+++ b/internal/entry/edge/fail.go
@@ -34,8 +34,12 @@
 	defaultMaxBodyBytes = 8 << 20
 )
 
-// errTimeout is the cancellation cause of a request whose deadline has passed.
-var errTimeout = errors.New("the request's deadline has passed")
+var (
+	// errTimeout is the cancellation cause of a request whose deadline has passed.
+	errTimeout = errors.New("the request's deadline has passed")
+	// errStopping is the cancellation cause of a request that is still open when the host stops.
+	errStopping = errors.New("the host stops")
+)
 
 // errorResponse is a response that the host generates itself.
 type errorResponse struct {
@@ -81,17 +85,28 @@
 	}
 }
 
-// handleContextEnd ends a request whose context has ended. It responds if the deadline has passed, and aborts the
-// handler if the caller has disconnected.
+// callerWaits reports whether the caller still waits for an answer, although the request's context has ended.
+func (t *transaction) callerWaits() bool {
+	cause := context.Cause(t.ctx)
+	return errors.Is(cause, errTimeout) || errors.Is(cause, errStopping)
+}
+
+// handleContextEnd ends a request whose context has ended. It responds if the deadline has passed or the host stops, and
+// aborts the handler if the caller has disconnected.
 func (t *transaction) handleContextEnd() {
-	if !errors.Is(context.Cause(t.ctx), errTimeout) {
+	if !t.callerWaits() {
 		t.proxy.metrics.callersLeft.Inc()
 		t.logEvent(zerolog.InfoLevel, "CallerLeft").Send()
 		panic(http.ErrAbortHandler)
 	}
 	switch {
 	case t.headerSent:
-		t.abort("the request's deadline has passed")
+		t.abort(context.Cause(t.ctx).Error())
+	case !t.mayHaveRun && errors.Is(context.Cause(t.ctx), errStopping):
+		t.writeError(&errorResponse{
+			status: http.StatusServiceUnavailable, retryAfter: retryAfterStopping,
+			cause: "the host stops before a backend server accepted the request; the request has not run; send it again",
+		})
 	case !t.mayHaveRun:
 		t.writeError(&errorResponse{
 			status: http.StatusServiceUnavailable, retryAfter: retryAfterExpired,
--- a/internal/entry/edgehost/drain.go
+++ b/internal/entry/edgehost/drain.go
@@ -12,6 +12,8 @@
 	// keepAliveGrace is how long requests on kept-alive connections are still served. Each response closes its
 	// connection. Requests that arrive later might not finish before the process is killed.
 	keepAliveGrace = 2800 * time.Millisecond
+	// answerMargin is the time before the end of draining in which the requests that are still open get their last answer.
+	answerMargin = 300 * time.Millisecond
 	// killMargin is the time left between the end of draining and the moment at which the process is killed.
 	killMargin = 700 * time.Millisecond
 	// drainPollInterval is the time between two checks for open requests.
@@ -19,7 +21,8 @@
 )
 
 // drain ends the serving of requests in steps. It turns readiness off and closes connections after their next response,
-// then refuses new requests, then waits for the open requests until the grace period is nearly over.
+// then refuses new requests, then waits for the open requests until the grace period is nearly over, and answers those that
+// are left.
 func (h *Host) drain(callers *http.Server) {
 	start := time.Now()
 	h.stopping.Store(true)
@@ -28,18 +31,23 @@
 		h.resignLease()
 	}
 	h.log.Info().Str("Event", "Stopping").Int64("Open", h.proxy.OpenRequests()).Send()
-	deadline := start.Add(h.config().Grace - killMargin)
+	draining := h.config().Grace - killMargin
+	deadline := start.Add(draining)
+	refuseAfter := min(keepAliveGrace, draining/2)
 	idleSince := time.Time{}
 	for now := time.Now(); now.Before(deadline); now = time.Now() {
-		if now.Sub(start) > keepAliveGrace {
+		if now.Sub(start) > refuseAfter {
 			h.proxy.RefuseNew()
 		}
+		if now.Add(answerMargin).After(deadline) {
+			h.proxy.EndRequests()
+		}
 		switch {
 		case h.proxy.OpenRequests() > 0:
 			idleSince = time.Time{}
 		case idleSince.IsZero():
 			idleSince = now
-		case now.Sub(start) > keepAliveGrace && now.Sub(idleSince) > balancerDelay/2:
+		case now.Sub(start) > refuseAfter && now.Sub(idleSince) > balancerDelay/2:
 			deadline = now
 		}
 		time.Sleep(drainPollInterval)
