gateway, host: requests that are open at the end of a planned stop get an answer

The host now ends the open requests with an answer before it closes their connections: 503 if they have not run, 504 if they may have. Streams that have begun are cut.

--- a/internal/entry/gateway/call.go
+++ b/internal/entry/gateway/call.go
@@ -189,8 +189,17 @@
 	g.respondInterrupted(ctx, c, request.MayHaveRun)
 }
 
+// stoppingFault ends the requests that are open when the host stops.
+var stoppingFault = Fault{Kind: TimedOut, Code: "host_stops", Message: "the host stops before the request is complete", Remedy: "send the request again"}
+
+// EndRequests ends the open requests, because the process is about to end: their callers get an answer, which says whether the
+// request may have run. A stream that has begun is cut.
+func (g *Gateway) EndRequests() {
+	g.openCalls.cancelWhere(func(*call) *Fault { return &stoppingFault })
+}
+
 // respondInterrupted ends c after its context ended: the deadline passed, the configuration no longer allows the
-// request, or the caller closed the connection.
+// request, the host stops, or the caller closed the connection.
 func (g *Gateway) respondInterrupted(ctx context.Context, c *call, ran request.Ran) {
 	g.incCounter("interrupted_total", c)
 	f, ok := context.Cause(ctx).(*Fault)
@@ -201,6 +210,9 @@
 	}
 	out := *f
 	out.Ran = ran
+	if f == &stoppingFault && ran == request.NotRun {
+		out.Kind = NotReady // Another host can take the request at once.
+	}
 	g.decisionLog.AddStep(c.req.ID, time.Now(), "ended", out.Code)
 	g.fail(c, &out)
 }
--- a/internal/entry/host/drain_test.go
+++ b/internal/entry/host/drain_test.go
@@ -119,3 +119,45 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestRequestsAtEndOfDrain guards against requests that are cut without an answer at the end of a planned stop: one is at an
+// engine, the other waits for it.
+func TestRequestsAtEndOfDrain(t *testing.T) {
+	e := enginefake.NewEngine(enginefake.Config{Name: "e", Models: []string{"m"}, Slots: 1, TokenInterval: time.Second})
+	h, stop, done := startHostWithEngines(t, Config{DrainTimeout: 50 * time.Millisecond}, map[string]*enginefake.Engine{"engine-1": e})
+	const requests = 600 // More than the host sends to the engine at once.
+	type answer struct {
+		status int
+		ran    string
+		err    error
+	}
+	answers := make(chan answer, requests)
+	for range requests {
+		go func() {
+			res, err := http.Post(h.CallersURL()+"/v1/chat/completions", "application/json", strings.NewReader(`{"model":"m","messages":[{"role":"user","content":"tokens=30"}]}`))
+			if err != nil {
+				answers <- answer{err: err}
+				return
+			}
+			_, err = io.ReadAll(res.Body)
+			_ = res.Body.Close()
+			answers <- answer{res.StatusCode, res.Header.Get("X-Request-Ran"), err}
+		}()
+	}
+	eventually(t, "the requests are open", func() bool { return h.gateway.OpenRequests() == requests })
+	stop()
+	if err := <-done; err == nil || !strings.Contains(err.Error(), "--drain-timeout") {
+		t.Errorf("got %v", err)
+	}
+	counts := map[string]int{}
+	for range requests {
+		a := <-answers
+		if a.err != nil {
+			t.Errorf("a request was cut: %v", a.err)
+		}
+		counts[fmt.Sprint(a.status, " ", a.ran)]++
+	}
+	if counts["504 may have run"] == 0 || counts["503 not run"] == 0 || counts["504 may have run"]+counts["503 not run"] != requests {
+		t.Errorf("answers %v, want 504 for those at the engine and 503 for those that wait", counts)
+	}
+}
--- a/internal/entry/host/host.go
+++ b/internal/entry/host/host.go
@@ -54,6 +54,9 @@
 	OrderingURL string
 }
 
+// answerTimeout is the time for the answers to requests that are still open after the drain timeout.
+const answerTimeout = time.Second
+
 // usageCloseTimeout bounds the writing of usage at a planned stop.
 const usageCloseTimeout = 30 * time.Second
 
@@ -228,6 +231,10 @@
 	err := callerServer.Shutdown(ctx)
 	if err != nil {
 		err = errors.Wrapf(err, "%d requests were still open after --drain-timeout; raise it to let them finish", h.gateway.OpenRequests())
+		h.gateway.EndRequests()
+		answerCtx, cancelAnswers := context.WithTimeout(context.Background(), answerTimeout)
+		defer cancelAnswers()
+		_ = callerServer.Shutdown(answerCtx) // The first error is returned.
 		_ = callerServer.Close()
 	}
 	// The usage is complete only after the last request. What this host cannot write, the reporter takes from the
