gateway: buffered responses draw from one budget of memory

The budget is a quarter of the runtime's memory limit, or 512 MiB without one. The answer to a call that runs at most once is forwarded as it was read, where it was buffered a second time before.

TestManyBodiesWithoutEnd with the budget taken out: 40 of 40 bodies of 1 MiB kept, where 8 MiB are allowed; it passes with it.

--- a/internal/engine/bodybuffer/bodybuffer.go
+++ b/internal/engine/bodybuffer/bodybuffer.go
@@ -52,7 +52,7 @@
 // NewBuffer returns an empty buffer.
 func (b *Budget) NewBuffer() *Buffer { return &Buffer{budget: b} }
 
-// Bytes returns the content of the buffer, which is valid until it is released.
+// Bytes returns the content of the buffer. After [Buffer.Release] it is still valid, but not counted any more.
 func (b *Buffer) Bytes() []byte { return b.bytes }
 
 // Release returns the buffer's memory to the budget.
--- a/internal/entry/gateway/attempt.go
+++ b/internal/entry/gateway/attempt.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/engine/bodybuffer"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
 )
@@ -148,12 +149,15 @@
 
 // forwardBuffered forwards a response that is not streamed, after reading the whole body.
 func (g *Gateway) forwardBuffered(c *call, resp *http.Response, res *request.Result) *Fault {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
+	buf := g.buffers.NewBuffer()
+	defer buf.Release()
+	err := buf.ReadAll(resp.Body, maxResponseBytes)
+	if err != nil && !errors.Is(err, bodybuffer.ErrTooLarge) {
 		res.Outcome = request.Broken
 		return nil
 	}
-	if len(body) > maxResponseBytes {
+	body := buf.Bytes()
+	if err != nil {
 		res.Outcome = request.Cancelled
 		return &Fault{Kind: UpstreamFailed, Code: "answer_too_large", Message: fmt.Sprintf("the response of the backend server is larger than %d bytes", maxResponseBytes), Remedy: "request a smaller or a streamed response", Ran: request.DidRun}
 	}
--- a/internal/entry/gateway/claim.go
+++ b/internal/entry/gateway/claim.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -181,12 +179,14 @@
 		return
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
+	buf := g.buffers.NewBuffer()
+	defer buf.Release()
+	if err := buf.ReadAll(resp.Body, maxResponseBytes); err != nil {
 		handle.Finish(claim.Result{Kind: claim.ServerLost})
 		done <- sendResult{kind: claim.ServerLost}
 		return
 	}
+	body := buf.Bytes()
 	reply := claim.Reply{Status: resp.StatusCode, Header: map[string]string{}, Body: body}
 	for _, name := range recordedHeaders {
 		if v := resp.Header.Get(name); v != "" {
@@ -218,8 +218,8 @@
 		res.Outcome = request.Broken
 		return nil
 	}
-	s.resp.Body = io.NopCloser(bytes.NewReader(s.body))
-	return g.forwardService(c, s.resp, res)
+	writeResponse(c, s.resp, s.body, res)
+	return nil
 }
 
 // finalizeFault corrects what f says about the run of a call that must run at most once. It reports "not run" only
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +20,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/engine/bodybuffer"
 	"shallotramp/internal/ops/decisionlog"
 	"shallotramp/internal/traffic/claim"
 	"shallotramp/internal/traffic/dispatch"
@@ -33,6 +36,8 @@
 	ReadTimeout time.Duration
 	// WriteTimeout is the limit for one write to a caller that reads slowly.
 	WriteTimeout time.Duration
+	// BufferBytes limits the responses that are buffered at the same time, beyond a first part of each.
+	BufferBytes int64
 }
 
 // DefaultLimits are used where a limit is zero.
@@ -73,6 +78,8 @@
 	log              zerolog.Logger
 	tracer           trace.Tracer
 	limits           Limits
+	// buffers is the memory for responses that are buffered.
+	buffers          *bodybuffer.Budget
 	backendTransport http.RoundTripper
 	// atMostOnceTransport sends calls that must run at most once.
 	atMostOnceTransport http.RoundTripper
@@ -99,6 +106,9 @@
 		if l.WriteTimeout > 0 {
 			g.limits.WriteTimeout = l.WriteTimeout
 		}
+		if l.BufferBytes > 0 {
+			g.buffers = bodybuffer.NewBudget(l.BufferBytes)
+		}
 	}
 }
 
@@ -126,12 +136,27 @@
 	return func(g *Gateway) { g.backendTransport, g.atMostOnceTransport = rt, rt }
 }
 
+const (
+	// bufferRatio is the part of the runtime's memory limit that buffered responses may use, and defaultBufferBytes their memory
+	// if there is no such limit.
+	bufferRatio        = 0.25
+	defaultBufferBytes = 512 << 20
+)
+
+// bufferBytes returns the memory for all responses that are buffered at the same time.
+func bufferBytes() int64 {
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return int64(bufferRatio * float64(limit))
+	}
+	return defaultBufferBytes
+}
+
 // New returns a Gateway in zone that takes its configuration from holder and submits requests to loop.
 func New(zone string, holder *release.Holder, loop *dispatch.Loop, opts ...Option) *Gateway {
 	g := &Gateway{
 		zone: zone, holder: holder, dispatcher: loop,
 		usageCounter: meter.New(), decisionLog: decisionlog.NewDecisionLog(), metrics: metrics.NewSet(), log: zerolog.Nop(),
-		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, openCalls: newCallRegistry(), classStats: &classCounterMap{},
+		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, buffers: bodybuffer.NewBudget(bufferBytes()), openCalls: newCallRegistry(), classStats: &classCounterMap{},
 		atMostOnceTransport: newAtMostOnceTransport(),
 		backendTransport: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
--- a/internal/entry/gateway/response_test.go
+++ b/internal/entry/gateway/response_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,10 +11,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/tidwall/gjson"
 
 	enginefake "shallotramp/internal/engine/fake"
+	"shallotramp/internal/entry/gateway"
 	"shallotramp/internal/traffic/scheduler"
 )
 
@@ -214,3 +217,58 @@
 		})
 	}
 }
+
+// TestManyBodiesWithoutEnd guards against responses of a failing service that are kept, each up to its limit, until the host
+// has no memory left. Each of them is open at the same time.
+func TestManyBodiesWithoutEnd(t *testing.T) {
+	const (
+		requests, bodyBytes = 40, 1 << 20
+		bufferBytes         = 8 << 20
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", bodyBytes))
+		_ = http.NewResponseController(w).Flush()
+		select { // More bytes would follow.
+		case <-ctx.Done():
+		case <-r.Context().Done():
+		}
+	}))
+	defer srv.Close() // Waits for its requests, which end with ctx.
+	defer cancel()
+	g := newTestGateway(t, gateway.WithLimits(gateway.Limits{BufferBytes: bufferBytes}))
+	g.set.BackendServers["s"].Address = addr(srv)
+	g.publish(2)
+	ended := make(chan int, requests)
+	for range requests {
+		go func() {
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url+"/open/x", strings.NewReader("{}"))
+			if err != nil {
+				ended <- 0
+				return
+			}
+			res, err := http.DefaultClient.Do(req)
+			if err != nil {
+				ended <- 0
+				return
+			}
+			_ = res.Body.Close()
+			ended <- res.StatusCode
+		}()
+	}
+	open := requests
+	for timeout := time.After(10 * time.Second); open*bodyBytes > bufferBytes; {
+		select {
+		case status := <-ended:
+			if open--; status < http.StatusInternalServerError {
+				t.Errorf("status %d for a body that does not end", status)
+			}
+			continue
+		case <-timeout:
+		}
+		break
+	}
+	if open*bodyBytes > bufferBytes {
+		t.Errorf("%d of %d bodies of %d bytes are kept, want at most %d bytes", open, requests, bodyBytes, bufferBytes)
+	}
+}
--- a/internal/entry/gateway/service.go
+++ b/internal/entry/gateway/service.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,11 +48,12 @@
 		res.Outcome = request.Failed
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil || len(body) > maxResponseBytes {
+	buf := g.buffers.NewBuffer()
+	defer buf.Release()
+	if err := buf.ReadAll(resp.Body, maxResponseBytes); err != nil {
 		res.Outcome = request.Broken
 		return nil
 	}
-	writeResponse(c, resp, body, res)
+	writeResponse(c, resp, buf.Bytes(), res)
 	return nil
 }
