eventstream: blank lines without end are no stream

Reader, which the serve path uses, took any number of blank lines, so a server that sends nothing else kept a stream open until its deadline. More than 16 in a row now end the attempt.

TestReader ("blank lines without end") and TestForeignBytesInModelStream ("blank lines").

--- a/internal/engine/eventstream/reader.go
+++ b/internal/engine/eventstream/reader.go
@@ -5,8 +5,12 @@
 	"io"
 )
 
-// maxNameBytes is more than the longest name of a field.
-const maxNameBytes = 64
+const (
+	// maxNameBytes is more than the longest name of a field.
+	maxNameBytes = 64
+	// maxBlankLines limits the blank lines in a row. One ends an event; a faulty server may send them without end.
+	maxBlankLines = 16
+)
 
 // Reader reads a stream and fails with [ErrForeign] at the first line that is no line of an event. It does not keep lines,
 // so their length is unlimited.
@@ -16,7 +20,9 @@
 	// start has the first bytes of the line that is being read, and return is set if its last byte is a carriage return.
 	start    []byte
 	returned bool
-	err      error
+	// blankLines counts the blank lines since the last other one.
+	blankLines int
+	err        error
 }
 
 // NewReader returns a Reader of r.
@@ -51,7 +57,11 @@
 	if !complete {
 		return !containsControl(b) && r.fields.mayBecomeLine(r.start)
 	}
-	ok := !containsControl(b) && (len(r.start) == 0 || r.fields.isLine(r.start))
+	if len(r.start) > 0 {
+		r.blankLines = -1
+	}
+	r.blankLines++
+	ok := !containsControl(b) && r.blankLines <= maxBlankLines && (len(r.start) == 0 || r.fields.isLine(r.start))
 	r.start, r.returned = r.start[:0], false
 	return ok
 }
--- a/internal/engine/eventstream/reader_test.go
+++ b/internal/engine/eventstream/reader_test.go
@@ -19,6 +19,8 @@
 		"events and comments":            {event + ": ping\r\n\r\n" + event, event + ": ping\r\n\r\n" + event, false},
 		"an incomplete line":             {event + "dat", event + "dat", false},
 		"blank lines":                    {event + "\n\n" + event, event + "\n\n" + event, false},
+		"blank lines in a row":           {event + strings.Repeat("\n", 15) + event, event + strings.Repeat("\n", 15) + event, false},
+		"blank lines without end":        {event + strings.Repeat("\n", 16), event + strings.Repeat("\n", 15), true},
 		"a long line of data":            {"data: " + strings.Repeat("x", 1<<16) + "\n\n", "data: " + strings.Repeat("x", 1<<16) + "\n\n", false},
 		"a line of text":                 {event + "panic: x\n" + event, event, true},
 		"a text without a colon":         {event + "goroutine", event, true},
--- a/internal/entry/gateway/response_test.go
+++ b/internal/entry/gateway/response_test.go
@@ -172,6 +172,7 @@
 		"an event that is no object":       "data: [\"out of order\"]\n\n",
 		"an event that ends early":         "data: {\"choices\":[],\"out of order\n\n",
 		"a line that is no field":          "out of order\n",
+		"blank lines":                      "\n\n",
 		"binary zeros":                     "\x00\x00\x00\n\n",
 		"text without a line end":          strings.Repeat("out of order ", 100),
 		"the head of another response":     "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 12\r\n\r\nout of order",
