--- a/internal/engine/bodybuffer/bodybuffer.go
+++ b/internal/engine/bodybuffer/bodybuffer.go
@@ -41,7 +41,7 @@
 	return false
 }
 
-// Buffer is a buffer that draws from a [Budget]. It must be used by one goroutine only, and released after its last use.
+// Buffer is a buffer that draws from a [Budget]. It must be used by one goroutine only, and released.
 type Buffer struct {
 	budget *Budget
 	bytes  []byte
@@ -52,7 +52,7 @@
 // NewBuffer returns an empty buffer.
 func (b *Budget) NewBuffer() *Buffer { return &Buffer{budget: b} }
 
-// Bytes returns the content of the buffer. After [Buffer.Release] it is still valid, but not counted any more.
+// Bytes returns the content of the buffer. The slice stays valid after [Buffer.Release], but the budget no longer counts it.
 func (b *Buffer) Bytes() []byte { return b.bytes }
 
 // Release returns the buffer's memory to the budget.
--- a/internal/engine/eventstream/reader.go
+++ b/internal/engine/eventstream/reader.go
@@ -17,7 +17,7 @@
 type Reader struct {
 	r      io.Reader
 	fields Fields
-	// start has the first bytes of the line that is being read, and return is set if its last byte is a carriage return.
+	// start has the first bytes of the line that is being read, and returned is set if its last byte is a carriage return.
 	start    []byte
 	returned bool
 	// blankLines counts the blank lines since the last other one.
