transport: responses without a valid status are rejected

What callers saw. A server answered with the status 000. On edge the head was skipped as an informational response, and the caller got what followed it on the connection, for example a 200 that the server had not given. The statuses 101, 600 and 999 reached the caller with their seal. On serve the handler panicked, and the caller's connection ended without a response; 101, 600 and 999 were forwarded there too.

Cause. net/http accepts each status of three characters that strconv.Atoi reads as a number of 0 or more, also "+99" and "-00", and nothing checked the range. RFC 9110 defines 100 to 599. 101 is valid only for a request that asks for another protocol, and hosts forward no such request.

The connection is closed: net/http may have put it back into its pool, and the bytes after the head belong to no request. The attempt counts as broken, so it is repeated only where that is allowed, and a 502 says that the request may have run.

--- a/internal/engine/connection/connection.go
+++ b/internal/engine/connection/connection.go
@@ -18,6 +18,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"shallotramp/internal/provider/transport"
 )
 
 const (
@@ -171,7 +173,10 @@
 			return nil, err
 		}
 		c.in.unlimit()
-		if res.StatusCode >= http.StatusOK || res.StatusCode == http.StatusSwitchingProtocols {
+		if err := transport.CheckHead(res); err != nil {
+			return nil, err
+		}
+		if res.StatusCode >= http.StatusOK {
 			return res, nil
 		}
 	}
--- /dev/null
+++ b/internal/engine/connection/malformed_test.go
@@ -0,0 +1,40 @@
+package connection_test
+
+import (
+	"testing"
+
+	"shallotramp/internal/engine/fake"
+)
+
+// rawRoundTrip sends a request to a server that sends these bytes, and returns the body of the response.
+func rawRoundTrip(t *testing.T, response string) (string, error) {
+	t.Helper()
+	s, err := fake.StartRawServer(fake.Respond(response))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	body, _, err := roundTrip(t.Context(), newPool(new(int)), s.Addr(), "a", nil, false)
+	return body, err
+}
+
+// TestInvalidStatus guards against a response without a valid status that is skipped or counts as a response.
+func TestInvalidStatus(t *testing.T) {
+	for name, response := range fake.InvalidStatuses("Id: a\r\n") {
+		t.Run(name, func(t *testing.T) {
+			if body, err := rawRoundTrip(t, response); err == nil {
+				t.Errorf("got a response with the body %q, want an error", body)
+			}
+		})
+	}
+}
+
+func TestValidResponses(t *testing.T) {
+	for name, response := range fake.ValidResponses("Id: a\r\n") {
+		t.Run(name, func(t *testing.T) {
+			if body, err := rawRoundTrip(t, response); err != nil || body != "valid" {
+				t.Errorf("got the body %q, error %v", body, err)
+			}
+		})
+	}
+}
--- a/internal/engine/loadpoller/loadpoller.go
+++ b/internal/engine/loadpoller/loadpoller.go
@@ -16,6 +16,7 @@
 
 	"shallotramp/internal/catalog/object"
 	"shallotramp/internal/catalog/release"
+	"shallotramp/internal/provider/transport"
 	"shallotramp/internal/traffic/dispatch"
 )
 
@@ -129,7 +130,7 @@
 		servers: map[string]*server{}, results: make(chan result, maxConcurrentPolls), endedFollowers: make(chan *server),
 		// The transport uses no proxy, because requests must go to the address in the release.
 		client: &http.Client{
-			Transport:     &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute},
+			Transport:     transport.Checked{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/entry/gateway/claim.go
+++ b/internal/entry/gateway/claim.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"shallotramp/internal/catalog/object"
+	"shallotramp/internal/provider/transport"
 	"shallotramp/internal/traffic/claim"
 	"shallotramp/internal/traffic/request"
 )
@@ -53,12 +54,12 @@
 // the server may close it while a request is being sent; net/http then retries a request that has an
 // Idempotency-Key on its own.
 func newAtMostOnceTransport() http.RoundTripper {
-	return &http.Transport{
+	return transport.Checked{Transport: &http.Transport{
 		DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
-	}
+	}}
 }
 
 // checkClaim reports whether c may be queued. If an earlier request has claimed the same Idempotency-Key, checkClaim
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"shallotramp/internal/engine/bodybuffer"
 	"shallotramp/internal/entry/admission"
 	"shallotramp/internal/ops/decisionlog"
+	"shallotramp/internal/provider/transport"
 	"shallotramp/internal/traffic/claim"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/traffic/request"
@@ -181,7 +182,7 @@
 		usageCounter: meter.New(), decisionLog: decisionlog.NewDecisionLog(), metrics: metrics.NewSet(), log: zerolog.Nop(),
 		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, refused: func(admission.Kind, netip.Addr) {}, openCalls: newCallRegistry(), classStats: &classCounterMap{},
 		atMostOnceTransport: newAtMostOnceTransport(),
-		backendTransport: &http.Transport{
+		backendTransport: transport.Checked{Transport: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
 			MaxIdleConnsPerHost:    256,
 			IdleConnTimeout:        time.Minute,
@@ -189,7 +190,7 @@
 			ReadBufferSize:         backendBufferBytes,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			WriteBufferSize:        backendBufferBytes,
-		},
+		}},
 	}
 	g.setBufferBytes(bufferBytes())
 	for _, o := range opts {
--- a/internal/entry/host/roles.go
+++ b/internal/entry/host/roles.go
@@ -22,6 +22,7 @@
 	"shallotramp/internal/ops/event"
 	"shallotramp/internal/provider/ordering"
 	"shallotramp/internal/provider/report"
+	"shallotramp/internal/provider/transport"
 	"shallotramp/internal/traffic/dispatch"
 	"shallotramp/internal/usage/ledger"
 	"shallotramp/internal/usage/reporter"
@@ -51,7 +52,7 @@
 	if u.Grace == 0 {
 		u.Grace = reporter.DefaultGrace
 	}
-	records := servercounts.NewReader(h.serverAddress, http.DefaultTransport)
+	records := servercounts.NewReader(h.serverAddress, transport.Checked{Transport: &http.Transport{IdleConnTimeout: time.Minute}})
 	h.ledger = ledger.New(h.store, h.cfg.Name, h.cfg.Zone, ledger.WithCountReader(records), ledger.WithLog(h.log),
 		ledger.WithWindowLength(u.Window), ledger.WithHostCount(h.liveHostCount))
 	if u.ReportsURL == "" {
