transport: field names that hold blanks are rejected

What callers saw. A server answered with a field name that held a blank. The caller got the response, without that line: net/http writes no such name. If the name was that of a length or an encoding ("Content-Length : 6", "Transfer-Encoding : chunked"), the caller got all bytes up to the end of the connection as the body, chunk sizes included, or a body that ended early and looked complete.

Cause. net/http accepts blanks in field names on purpose and keeps such names as they are, so that it does not recognise them. Control characters, characters above 0x7f, separators, empty names and lines without a colon are rejected by net/http: those cases held before.

CheckHead also rejects a response with a name that is no token of RFC 9110.

The other cases of the test passed before, and TestValidResponses passes before and after. The tests of internal/engine, internal/provider, internal/entry and platform pass.

--- a/internal/engine/connection/malformed_test.go
+++ b/internal/engine/connection/malformed_test.go
@@ -29,6 +29,20 @@
 	}
 }
 
+// TestInvalidFieldNames guards against a response with a field name that net/http accepts and does not understand, so that it
+// takes other bytes for the body.
+func TestInvalidFieldNames(t *testing.T) {
+	tests := fake.InvalidFieldNames("Id: a\r\n")
+	tests["an informational response"] = "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 6\r\n\r\nforged"
+	for name, response := range tests {
+		t.Run(name, func(t *testing.T) {
+			if body, err := rawRoundTrip(t, response); err == nil {
+				t.Errorf("got a response with the body %q, want an error", body)
+			}
+		})
+	}
+}
+
 func TestValidResponses(t *testing.T) {
 	for name, response := range fake.ValidResponses("Id: a\r\n") {
 		t.Run(name, func(t *testing.T) {
--- a/internal/engine/fake/raw.go
+++ b/internal/engine/fake/raw.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -74,6 +75,24 @@
 	return out
 }
 
+// InvalidFieldNames returns responses with the body "forged" and a header field whose name is not valid. Each holds the given
+// header lines.
+func InvalidFieldNames(lines string) map[string]string {
+	const ok, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 6\r\n\r\nforged"
+	out := map[string]string{
+		"a blank before the colon of a length":    ok + lines + "Content-Length : 6\r\n\r\nforged",
+		"a blank before the colon of an encoding": ok + lines + "Transfer-Encoding : chunked\r\n\r\n6\r\nforged\r\n0\r\n\r\n",
+		"a blank before the first name":           ok + " X: 1\r\n" + lines + end,
+		"an empty name":                           ok + lines + ": 1\r\n" + end,
+		"a line without a colon":                  ok + lines + "X\r\n" + end,
+	}
+	for _, char := range []string{" ", "\t", "\x00", "\x01", "\x0b", "\r", "\x1b", "\x7f", "\x80", "\u00a0", "(", "/"} {
+		out[fmt.Sprintf("%q inside a name", char)] = ok + lines + "X" + char + "Y: 1\r\n" + end
+		out[fmt.Sprintf("%q at the end of a name", char)] = ok + lines + "X" + char + ": 1\r\n" + end
+	}
+	return out
+}
+
 // ValidResponses returns responses with the body "valid" that are unusual and valid. Each holds the given header lines.
 func ValidResponses(lines string) map[string]string {
 	const end = "Content-Length: 5\r\n\r\nvalid"
--- a/internal/provider/transport/response.go
+++ b/internal/provider/transport/response.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // maxStatus is the highest status that RFC 9110, section 15, defines as valid.
@@ -23,6 +25,12 @@
 	if res.StatusCode < http.StatusContinue || res.StatusCode > maxStatus || res.StatusCode == http.StatusSwitchingProtocols {
 		return &MalformedError{fmt.Sprintf("status %03d", res.StatusCode)}
 	}
+	for name := range res.Header {
+		// net/http keeps names that hold blanks. It does not recognise such a length or encoding.
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &MalformedError{fmt.Sprintf("field name %q", name)}
+		}
+	}
 	return nil
 }
 
