transport: a reset is not the end of a response without a length

What callers saw. A server answered a long upload at once with 200 and neither a length nor chunks, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete, sealed answer, or as a stream with a regular end.

The kernel reports a reset once, to whichever call comes first. The request body is written beside the read of the response. If the write got ECONNRESET, the next read returned 0, which is io.EOF, the regular end of a response without a length. With a length or chunks, in a head, or after a request that was written completely, the reset was noticed before.

Change. transport.Conn is the connection of all clients that read answers: the connections of edge, the gateway, the load poller, usage counts, the store, orders, reports, duties and other hosts. When a read ends, it asks the kernel whether the connection has hung up in both directions. If so, the error of the write, or the pending error of the socket, tells what came first: EPIPE stands for a reset after the end of the server's bytes, and all others mean that the response was cut. The attempt counts as broken, as with any reset. Reads that do not end cost nothing more, and a write costs a lock without contention.

--- a/internal/engine/connection/connection.go
+++ b/internal/engine/connection/connection.go
@@ -90,7 +90,7 @@
 		}
 		return sockErr
 	}}
-	c, err := d.DialContext(ctx, "tcp4", addr.String())
+	c, err := transport.Dial(&d)(ctx, "tcp4", addr.String())
 	if err != nil {
 		return nil, &Error{Addr: addr, Cause: err}
 	}
--- a/internal/engine/fake/raw.go
+++ b/internal/engine/fake/raw.go
@@ -107,3 +107,15 @@
 		"chunks and a trailer":                "HTTP/1.1 200 OK\r\n" + lines + "Transfer-Encoding: chunked\r\n\r\n5\r\nvalid\r\n0\r\nA: x\r\n\r\n",
 	}
 }
+
+// RespondAndReset reads the head of a request, writes response and resets the connection. The body of the request has not
+// been read; a client that sends a long one is still writing it.
+func RespondAndReset(response string) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, response) // The client may have disconnected.
+		_ = c.SetLinger(0)                 // Makes Close reset the connection.
+	}
+}
--- a/internal/engine/loadpoller/loadpoller.go
+++ b/internal/engine/loadpoller/loadpoller.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -130,7 +131,9 @@
 		servers: map[string]*server{}, results: make(chan result, maxConcurrentPolls), endedFollowers: make(chan *server),
 		// The transport uses no proxy, because requests must go to the address in the release.
 		client: &http.Client{
-			Transport:     transport.Checked{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}},
+			Transport: transport.Checked{Transport: &http.Transport{
+				DialContext: transport.Dial(&net.Dialer{}), MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute,
+			}},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/entry/gateway/claim.go
+++ b/internal/entry/gateway/claim.go
@@ -55,7 +55,7 @@
 // Idempotency-Key on its own.
 func newAtMostOnceTransport() http.RoundTripper {
 	return transport.Checked{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		DialContext:            transport.Dial(&net.Dialer{Timeout: 2 * time.Second}),
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		DisableCompression:     true,
--- a/internal/entry/gateway/gateway.go
+++ b/internal/entry/gateway/gateway.go
@@ -183,7 +183,7 @@
 		tracer: otel.Tracer("shallotramp/gateway"), limits: DefaultLimits, refused: func(admission.Kind, netip.Addr) {}, openCalls: newCallRegistry(), classStats: &classCounterMap{},
 		atMostOnceTransport: newAtMostOnceTransport(),
 		backendTransport: transport.Checked{Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}).DialContext,
+			DialContext:            transport.Dial(&net.Dialer{Timeout: 2 * time.Second, KeepAlive: 15 * time.Second}),
 			MaxIdleConnsPerHost:    256,
 			IdleConnTimeout:        time.Minute,
 			DisableCompression:     true,
--- a/internal/entry/host/roles.go
+++ b/internal/entry/host/roles.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"net"
 	"net/http"
 	"net/netip"
 	"sort"
@@ -52,7 +53,9 @@
 	if u.Grace == 0 {
 		u.Grace = reporter.DefaultGrace
 	}
-	records := servercounts.NewReader(h.serverAddress, transport.Checked{Transport: &http.Transport{IdleConnTimeout: time.Minute}})
+	records := servercounts.NewReader(h.serverAddress, transport.Checked{Transport: &http.Transport{
+		DialContext: transport.Dial(&net.Dialer{}), IdleConnTimeout: time.Minute,
+	}})
 	h.ledger = ledger.New(h.store, h.cfg.Name, h.cfg.Zone, ledger.WithCountReader(records), ledger.WithLog(h.log),
 		ledger.WithWindowLength(u.Window), ledger.WithHostCount(h.liveHostCount))
 	if u.ReportsURL == "" {
--- a/internal/provider/feed/source.go
+++ b/internal/provider/feed/source.go
@@ -77,7 +77,7 @@
 		store: st, neighbours: neighbours, onFailure: onFailure, failedAt: map[netip.AddrPort]time.Time{},
 		others: func() []netip.AddrPort { return nil },
 		http: &http.Client{Transport: transport.Transport{Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: listTimeout / 2}).DialContext,
+			DialContext:            transport.Dial(&net.Dialer{Timeout: listTimeout / 2}),
 			MaxIdleConnsPerHost:    2,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 		}}},
--- a/internal/provider/ordering/ordering.go
+++ b/internal/provider/ordering/ordering.go
@@ -79,7 +79,7 @@
 // NewClient returns a Client that calls resolve for the base URL of a receiver.
 func NewClient(resolve func(receiver string) (base string, ok bool)) *Client {
 	return &Client{resolve, &http.Client{Transport: transport.Transport{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext: transport.Dial(&net.Dialer{Timeout: time.Second}),
 	}}}}
 }
 
--- a/internal/provider/report/report.go
+++ b/internal/provider/report/report.go
@@ -95,7 +95,7 @@
 // NewClient returns a client of the platform's report interface at base.
 func NewClient(base string) *Client {
 	return &Client{strings.TrimSuffix(base, "/"), &http.Client{Transport: transport.Transport{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		DialContext: transport.Dial(&net.Dialer{Timeout: 2 * time.Second}),
 	}}}}
 }
 
--- a/internal/provider/store/client.go
+++ b/internal/provider/store/client.go
@@ -133,7 +133,7 @@
 	c := &Client{
 		baseURL: strings.TrimSuffix(base, "/"),
 		http: &http.Client{Transport: transport.Transport{Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			DialContext:            transport.Dial(&net.Dialer{Timeout: 2 * time.Second}),
 			MaxIdleConnsPerHost:    32,
 			IdleConnTimeout:        time.Minute,
 			ResponseHeaderTimeout:  10 * time.Second,
