transport: header lines that begin with a blank are rejected

What callers saw. A server answered with a header line that began with a blank or a tab. The caller got the response, with that line at the end of the field before it: "A: x X: 1", or a seal that was not the server's. If the line was a length, it was ignored, and the caller got all bytes up to the end of the connection as the body.

It is the case of field names with blanks once more, by another way: net/http takes the line for a continuation (line folding) and joins the two, so that nothing can be seen in the parsed head. RFC 9112, section 5.2, forbids servers to fold lines, and lets a gateway either join them or answer 502. A line that cannot be told from a field with a damaged name is rejected.

Change. transport.Conn checks the bytes of a head while they are read: each client says when it expects one. Informational responses before the final one are checked too, and on edge also a response that follows one to another request. Bodies are not looked at. Connections with TLS, which only the clients of the platform use, are not checked for this.

--- a/internal/engine/connection/connection.go
+++ b/internal/engine/connection/connection.go
@@ -64,7 +64,7 @@
 // Conn is an HTTP/1.1 connection that carries one request at a time.
 type Conn struct {
 	addr    netip.AddrPort
-	netConn net.Conn
+	netConn *transport.Conn
 	in      *limitedReader
 	br      *bufio.Reader
 	// requests counts the requests sent on the connection, including the current one.
@@ -90,7 +90,7 @@
 		}
 		return sockErr
 	}}
-	c, err := transport.Dial(&d)(ctx, "tcp4", addr.String())
+	c, err := transport.DialConn(ctx, &d, "tcp4", addr.String())
 	if err != nil {
 		return nil, &Error{Addr: addr, Cause: err}
 	}
@@ -166,6 +166,13 @@
 
 // read returns the next final response and skips informational ones.
 func (c *Conn) read(req *http.Request) (*http.Response, error) {
+	buffered, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.netConn.ExpectHead(buffered); err != nil {
+		return nil, err
+	}
 	for range maxInformational + 1 {
 		c.in.limit(maxHeadBytes)
 		res, err := http.ReadResponse(c.br, req)
@@ -241,11 +248,7 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.netConn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := sc.SyscallConn()
+	rc, err := c.netConn.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/engine/connection/malformed_test.go
+++ b/internal/engine/connection/malformed_test.go
@@ -43,6 +43,23 @@
 	}
 }
 
+// TestFoldedHeads guards against a header line that begins with a blank and that net/http appends to the field before it.
+func TestFoldedHeads(t *testing.T) {
+	for name, response := range fake.FoldedHeads("Id: a\r\n") {
+		t.Run(name, func(t *testing.T) {
+			if body, err := rawRoundTrip(t, response); err == nil {
+				t.Errorf("got a response with the body %q, want an error", body)
+			}
+		})
+	}
+	t.Run("after a response to another request", func(t *testing.T) {
+		other := "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother"
+		if body, err := rawRoundTrip(t, other+fake.FoldedHeads("Id: a\r\n")["a blank"]); err == nil {
+			t.Errorf("got a response with the body %q, want an error", body)
+		}
+	})
+}
+
 func TestValidResponses(t *testing.T) {
 	for name, response := range fake.ValidResponses("Id: a\r\n") {
 		t.Run(name, func(t *testing.T) {
--- a/internal/engine/fake/raw.go
+++ b/internal/engine/fake/raw.go
@@ -93,6 +93,20 @@
 	return out
 }
 
+// FoldedHeads returns responses with the body "forged" and a header line that begins with a blank or a tab. Each holds the given
+// header lines.
+func FoldedHeads(lines string) map[string]string {
+	const ok, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 6\r\n\r\nforged"
+	return map[string]string{
+		"a blank":                          ok + lines + "A: x\r\n X: 1\r\n" + end,
+		"a tab":                            ok + lines + "A: x\r\n\tX: 1\r\n" + end,
+		"a blank before the last line":     ok + end[:17] + "\r\n" + lines + "A: x\r\n X: 1\r\n\r\nforged",
+		"a length":                         ok + lines + "A: x\r\n Content-Length: 2\r\n\r\nforged",
+		"after an informational response":  "HTTP/1.1 103 Early Hints\r\nA: x\r\n\r\n" + ok + lines + "A: x\r\n X: 1\r\n" + end,
+		"inside an informational response": "HTTP/1.1 103 Early Hints\r\nA: x\r\n X: 1\r\n\r\n" + ok + lines + end,
+	}
+}
+
 // ValidResponses returns responses with the body "valid" that are unusual and valid. Each holds the given header lines.
 func ValidResponses(lines string) map[string]string {
 	const end = "Content-Length: 5\r\n\r\nvalid"
--- a/internal/entry/gateway/malformed_test.go
+++ b/internal/entry/gateway/malformed_test.go
@@ -83,6 +83,9 @@
 // takes other bytes for the body.
 func TestInvalidFieldNames(t *testing.T) { testMalformed(t, fake.InvalidFieldNames("")) }
 
+// TestFoldedHeads guards against a header line that begins with a blank and that net/http appends to the field before it.
+func TestFoldedHeads(t *testing.T) { testMalformed(t, fake.FoldedHeads("")) }
+
 // TestResetDuringUpload guards against the part of a response that a caller gets as a whole one: a server answers before it
 // has read a long body, without a length, and resets the connection.
 func TestResetDuringUpload(t *testing.T) {
--- a/internal/provider/transport/conn.go
+++ b/internal/provider/transport/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -16,39 +17,68 @@
 // looks complete.
 type Conn struct {
 	net.Conn
-	raw     syscall.RawConn
-	writeMu sync.Mutex
+	raw syscall.RawConn
+	// expected is the scanner of the next response until a read takes it over as head.
+	expected atomic.Pointer[headScanner]
+	head     *headScanner
+	writeMu  sync.Mutex
 	// writeErr is the first error of a write.
 	writeErr error
 }
 
-// Dial returns a function for [http.Transport] that dials with d.
+// Dial returns a function for [http.Transport] that opens a [Conn] with d.
 func Dial(d *net.Dialer) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, addr)
+		c, err := DialConn(ctx, d, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		sc, ok := c.(syscall.Conn)
-		if !ok {
-			_ = c.Close() // It cannot be used.
-			return nil, errors.Newf("a connection of type %T has no file descriptor; dial a TCP address", c)
-		}
-		raw, err := sc.SyscallConn()
-		if err != nil {
-			_ = c.Close() // It cannot be used.
-			return nil, err
-		}
-		return &Conn{Conn: c, raw: raw}, nil
+		return c, nil
+	}
+}
+
+// DialConn opens a connection with d.
+func DialConn(ctx context.Context, d *net.Dialer, network, addr string) (*Conn, error) {
+	c, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
 	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		_ = c.Close() // It cannot be used.
+		return nil, errors.Newf("a connection of type %T has no file descriptor; dial a TCP address", c)
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		_ = c.Close() // It cannot be used.
+		return nil, err
+	}
+	return &Conn{Conn: c, raw: raw}, nil
 }
 
 // SyscallConn implements [syscall.Conn].
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return c.raw, nil }
 
+// ExpectHead makes the connection check the head of the next response, of which the bytes in buffered have been read already.
+// It returns a [MalformedError] if these are not valid.
+func (c *Conn) ExpectHead(buffered []byte) error {
+	s := &headScanner{}
+	err := s.scan(buffered)
+	c.expected.Store(s)
+	return err
+}
+
 // Read implements [net.Conn]. It returns [io.EOF] only if the peer has ended its bytes.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if s := c.expected.Swap(nil); s != nil {
+		c.head = s
+	}
+	if c.head != nil {
+		if err := c.head.scan(p[:n]); err != nil {
+			return 0, err
+		}
+	}
 	if err == io.EOF {
 		err = c.endError()
 	}
--- a/internal/provider/transport/response.go
+++ b/internal/provider/transport/response.go
@@ -40,7 +40,12 @@
 // RoundTrip implements [http.RoundTripper].
 func (t Checked) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn = i.Conn }})
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		conn = i.Conn
+		if c, ok := conn.(*Conn); ok {
+			_ = c.ExpectHead(nil) // Without bytes there is no error.
+		}
+	}})
 	res, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
--- a/internal/provider/transport/response_test.go
+++ b/internal/provider/transport/response_test.go
@@ -12,6 +12,10 @@
 	"shallotramp/internal/provider/transport"
 )
 
+func newTransport() *http.Transport {
+	return &http.Transport{DialContext: transport.Dial(&net.Dialer{})}
+}
+
 // testMalformed checks that both transports reject a response and close its connection.
 func testMalformed(t *testing.T, response string) {
 	t.Helper()
@@ -25,7 +29,7 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	for _, rt := range []http.RoundTripper{transport.Checked{Transport: &http.Transport{}}, transport.Transport{Transport: &http.Transport{}}} {
+	for _, rt := range []http.RoundTripper{transport.Checked{Transport: newTransport()}, transport.Transport{Transport: newTransport()}} {
 		res, err := rt.RoundTrip(httptest.NewRequest(http.MethodPost, "http://"+s.Addr().String(), nil))
 		if err == nil {
 			t.Errorf("%T: got the response %v, want an error", rt, res)
@@ -52,6 +56,12 @@
 	}
 }
 
+func TestFoldedHeads(t *testing.T) {
+	for name, response := range fake.FoldedHeads("") {
+		t.Run(name, func(t *testing.T) { testMalformed(t, response) })
+	}
+}
+
 func TestValidResponses(t *testing.T) {
 	for name, response := range fake.ValidResponses("") {
 		t.Run(name, func(t *testing.T) {
@@ -60,7 +70,7 @@
 				t.Fatal(err)
 			}
 			defer s.Close()
-			res, err := transport.Checked{Transport: &http.Transport{}}.RoundTrip(httptest.NewRequest(http.MethodPost, "http://"+s.Addr().String(), nil))
+			res, err := transport.Checked{Transport: newTransport()}.RoundTrip(httptest.NewRequest(http.MethodPost, "http://"+s.Addr().String(), nil))
 			if err != nil {
 				t.Fatal(err)
 			}
