gateway, platform: malformed heads before valid streams

The tests of malformed heads used a body that is no event, so that streams held by the check of their events and the head was not tested. Streams now get a body of valid events, and each invalid status also comes with the body itself.

--- a/internal/engine/connection/malformed_test.go
+++ b/internal/engine/connection/malformed_test.go
@@ -20,7 +20,7 @@
 
 // TestInvalidStatus guards against a response without a valid status that is skipped or counts as a response.
 func TestInvalidStatus(t *testing.T) {
-	for name, response := range fake.InvalidStatuses("Id: a\r\n") {
+	for name, response := range fake.InvalidStatuses("Id: a\r\n", "forged") {
 		t.Run(name, func(t *testing.T) {
 			if body, err := rawRoundTrip(t, response); err == nil {
 				t.Errorf("got a response with the body %q, want an error", body)
@@ -32,7 +32,7 @@
 // TestInvalidFieldNames guards against a response with a field name that net/http accepts and does not understand, so that it
 // takes other bytes for the body.
 func TestInvalidFieldNames(t *testing.T) {
-	tests := fake.InvalidFieldNames("Id: a\r\n")
+	tests := fake.InvalidFieldNames("Id: a\r\n", "forged")
 	tests["an informational response"] = "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 6\r\n\r\nforged"
 	for name, response := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -45,7 +45,7 @@
 
 // TestFoldedHeads guards against a header line that begins with a blank and that net/http appends to the field before it.
 func TestFoldedHeads(t *testing.T) {
-	for name, response := range fake.FoldedHeads("Id: a\r\n") {
+	for name, response := range fake.FoldedHeads("Id: a\r\n", "forged") {
 		t.Run(name, func(t *testing.T) {
 			if body, err := rawRoundTrip(t, response); err == nil {
 				t.Errorf("got a response with the body %q, want an error", body)
@@ -54,7 +54,7 @@
 	}
 	t.Run("after a response to another request", func(t *testing.T) {
 		other := "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nother"
-		if body, err := rawRoundTrip(t, other+fake.FoldedHeads("Id: a\r\n")["a blank"]); err == nil {
+		if body, err := rawRoundTrip(t, other+fake.FoldedHeads("Id: a\r\n", "forged")["a blank"]); err == nil {
 			t.Errorf("got a response with the body %q, want an error", body)
 		}
 	})
--- a/internal/engine/fake/raw.go
+++ b/internal/engine/fake/raw.go
@@ -64,46 +64,49 @@
 	}
 }
 
-// InvalidStatuses returns responses with an invalid status. Each holds the given header lines and is followed by a valid
-// response with the body "forged", which was not sent for any request.
-func InvalidStatuses(lines string) map[string]string {
+// response returns a response with this status and body, and with these header lines before its length.
+func response(status, lines, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", status, lines, len(body), body)
+}
+
+// InvalidStatuses returns responses with an invalid status, each with these header lines. A valid response with the body
+// follows, which was not sent for any request.
+func InvalidStatuses(lines, body string) map[string]string {
 	out := map[string]string{}
 	for _, status := range []string{"000", "001", "099", "+99", "-00", "101", "600", "999"} {
-		out["status "+status] = "HTTP/1.1 " + status + " Unknown\r\n" + lines + "Content-Length: 0\r\n\r\n" +
-			"HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 6\r\n\r\nforged"
+		out["status "+status] = response(status+" Unknown", lines, "") + response("200 OK", lines, body)
+		out["status "+status+" with the body"] = response(status+" Unknown", lines, body)
 	}
 	return out
 }
 
-// InvalidFieldNames returns responses with the body "forged" and a header field whose name is not valid. Each holds the given
-// header lines.
-func InvalidFieldNames(lines string) map[string]string {
-	const ok, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 6\r\n\r\nforged"
+// InvalidFieldNames returns responses with this body, these header lines and a header field whose name is not valid.
+func InvalidFieldNames(lines, body string) map[string]string {
+	const ok = "200 OK"
 	out := map[string]string{
-		"a blank before the colon of a length":    ok + lines + "Content-Length : 6\r\n\r\nforged",
-		"a blank before the colon of an encoding": ok + lines + "Transfer-Encoding : chunked\r\n\r\n6\r\nforged\r\n0\r\n\r\n",
-		"a blank before the first name":           ok + " X: 1\r\n" + lines + end,
-		"an empty name":                           ok + lines + ": 1\r\n" + end,
-		"a line without a colon":                  ok + lines + "X\r\n" + end,
+		"a blank before the colon of a length":    fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length : %d\r\n\r\n%s", ok, lines, len(body), body),
+		"a blank before the colon of an encoding": fmt.Sprintf("HTTP/1.1 %s\r\n%sTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", ok, lines, len(body), body),
+		"a blank before the first name":           response(ok, " X: 1\r\n"+lines, body),
+		"an empty name":                           response(ok, lines+": 1\r\n", body),
+		"a line without a colon":                  response(ok, lines+"X\r\n", body),
 	}
 	for _, char := range []string{" ", "\t", "\x00", "\x01", "\x0b", "\r", "\x1b", "\x7f", "\x80", "\u00a0", "(", "/"} {
-		out[fmt.Sprintf("%q inside a name", char)] = ok + lines + "X" + char + "Y: 1\r\n" + end
-		out[fmt.Sprintf("%q at the end of a name", char)] = ok + lines + "X" + char + ": 1\r\n" + end
+		out[fmt.Sprintf("%q inside a name", char)] = response(ok, lines+"X"+char+"Y: 1\r\n", body)
+		out[fmt.Sprintf("%q at the end of a name", char)] = response(ok, lines+"X"+char+": 1\r\n", body)
 	}
 	return out
 }
 
-// FoldedHeads returns responses with the body "forged" and a header line that begins with a blank or a tab. Each holds the given
-// header lines.
-func FoldedHeads(lines string) map[string]string {
-	const ok, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 6\r\n\r\nforged"
+// FoldedHeads returns responses with this body, these header lines and a line that begins with a blank or a tab.
+func FoldedHeads(lines, body string) map[string]string {
+	const ok, informational = "200 OK", "HTTP/1.1 103 Early Hints\r\n"
 	return map[string]string{
-		"a blank":                          ok + lines + "A: x\r\n X: 1\r\n" + end,
-		"a tab":                            ok + lines + "A: x\r\n\tX: 1\r\n" + end,
-		"a blank before the last line":     ok + end[:17] + "\r\n" + lines + "A: x\r\n X: 1\r\n\r\nforged",
-		"a length":                         ok + lines + "A: x\r\n Content-Length: 2\r\n\r\nforged",
-		"after an informational response":  "HTTP/1.1 103 Early Hints\r\nA: x\r\n\r\n" + ok + lines + "A: x\r\n X: 1\r\n" + end,
-		"inside an informational response": "HTTP/1.1 103 Early Hints\r\nA: x\r\n X: 1\r\n\r\n" + ok + lines + end,
+		"a blank":                          response(ok, lines+"A: x\r\n X: 1\r\n", body),
+		"a tab":                            response(ok, lines+"A: x\r\n\tX: 1\r\n", body),
+		"a blank after the first line":     response(ok, "A: x\r\n X: 1\r\n"+lines, body),
+		"a length":                         "HTTP/1.1 200 OK\r\n" + lines + "A: x\r\n Content-Length: 2\r\n\r\n" + body,
+		"after an informational response":  informational + "A: x\r\n\r\n" + response(ok, lines+"A: x\r\n X: 1\r\n", body),
+		"inside an informational response": informational + "A: x\r\n X: 1\r\n\r\n" + response(ok, lines, body),
 	}
 }
 
--- a/internal/entry/gateway/malformed_test.go
+++ b/internal/entry/gateway/malformed_test.go
@@ -29,6 +29,8 @@
 // rawRequest is a request that takes one of the paths of the gateway.
 type rawRequest struct{ path, body, idempotencyKey string }
 
+const modelStream = "model stream"
+
 // rawRequests returns requests that take all paths for responses that are not streamed, and one for a stream. Their bodies
 // hold text.
 func rawRequests(text string) map[string]rawRequest {
@@ -36,7 +38,7 @@
 		"service that may be repeated": {"/open/x", text, ""},
 		"call that runs at most once":  {"/book/x", text, "k"},
 		"model request":                {"/v1/chat/completions", chat(text, false), ""},
-		"model stream":                 {"/v1/chat/completions", chat(text, true), ""},
+		modelStream:                    {"/v1/chat/completions", chat(text, true), ""},
 	}
 }
 
@@ -65,11 +67,19 @@
 	}
 }
 
-// testMalformed checks that the caller of each kind of request gets an error for these responses.
-func testMalformed(t *testing.T, responses map[string]string) {
+// forgedStream is the body of a complete stream.
+const forgedStream = "data: {\"id\":\"x\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"forged\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
+
+// testMalformed checks that the caller of each kind of request gets an error for the responses that malformed returns for a
+// body.
+func testMalformed(t *testing.T, malformed func(lines, body string) map[string]string) {
 	t.Helper()
-	for name, response := range responses {
-		for kind, request := range rawRequests("tokens=4") {
+	for kind, request := range rawRequests("tokens=4") {
+		body := "forged"
+		if kind == modelStream {
+			body = forgedStream
+		}
+		for name, response := range malformed("", body) {
 			t.Run(name+", "+kind, func(t *testing.T) { expectError(t, request, fake.Respond(response)) })
 		}
 	}
@@ -77,14 +87,14 @@
 
 // TestInvalidStatus guards against a response without a valid status that a caller gets, or that ends the request without a
 // response.
-func TestInvalidStatus(t *testing.T) { testMalformed(t, fake.InvalidStatuses("")) }
+func TestInvalidStatus(t *testing.T) { testMalformed(t, fake.InvalidStatuses) }
 
 // TestInvalidFieldNames guards against a response with a field name that net/http accepts and does not understand, so that it
 // takes other bytes for the body.
-func TestInvalidFieldNames(t *testing.T) { testMalformed(t, fake.InvalidFieldNames("")) }
+func TestInvalidFieldNames(t *testing.T) { testMalformed(t, fake.InvalidFieldNames) }
 
 // TestFoldedHeads guards against a header line that begins with a blank and that net/http appends to the field before it.
-func TestFoldedHeads(t *testing.T) { testMalformed(t, fake.FoldedHeads("")) }
+func TestFoldedHeads(t *testing.T) { testMalformed(t, fake.FoldedHeads) }
 
 // TestResetDuringUpload guards against the part of a response that a caller gets as a whole one: a server answers before it
 // has read a long body, without a length, and resets the connection.
--- a/internal/provider/transport/response_test.go
+++ b/internal/provider/transport/response_test.go
@@ -44,20 +44,20 @@
 }
 
 func TestInvalidStatus(t *testing.T) {
-	for name, response := range fake.InvalidStatuses("") {
+	for name, response := range fake.InvalidStatuses("", "forged") {
 		t.Run(name, func(t *testing.T) { testMalformed(t, response) })
 	}
 	t.Run("status 000 with nothing after it", func(t *testing.T) { testMalformed(t, "HTTP/1.1 000 Unknown\r\nContent-Length: 0\r\n\r\n") })
 }
 
 func TestInvalidFieldNames(t *testing.T) {
-	for name, response := range fake.InvalidFieldNames("") {
+	for name, response := range fake.InvalidFieldNames("", "forged") {
 		t.Run(name, func(t *testing.T) { testMalformed(t, response) })
 	}
 }
 
 func TestFoldedHeads(t *testing.T) {
-	for name, response := range fake.FoldedHeads("") {
+	for name, response := range fake.FoldedHeads("", "forged") {
 		t.Run(name, func(t *testing.T) { testMalformed(t, response) })
 	}
 }
