--- a/review/_standin-3/cases.go
+++ b/review/_standin-3/cases.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 )
@@ -112,8 +113,8 @@
 	return late > 0, nil
 }
 
-// recurringCase lets a request come again that crashes each runner that runs it. Each runner starts again under its id. From
-// contactMs after the third crash, it may reach runners three times more.
+// recurringCase lets a request come again that crashes each runner that runs it. Each runner starts again under its id, or with
+// RENAMED=1 under a new one. From contactMs after the third crash, it may reach runners three times more.
 func recurringCase(d *deployment, trouble bool) (bool, error) {
 	for i, zone := range zones {
 		r, err := d.addRunner(fmt.Sprintf("i-app-%d", i+1), "bookings-app", zone, 6)
@@ -121,6 +122,7 @@
 			return false, err
 		}
 		r.work, r.down = 100*time.Millisecond, 2500*time.Millisecond
+		r.renamed = os.Getenv("RENAMED") == "1"
 		if trouble {
 			r.crashOn = "poison"
 		}
